--- /dev/null
+++ b/pimentobridge/core/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on what runs where: order, placement, reclaim."""
--- /dev/null
+++ b/pimentobridge/core/scheduling/engine.py
@@ -0,0 +1,430 @@
+"""The scheduler's state, and what each event changes in it.
+
+The engine does no I/O. A change of a job is recorded in the store before an
+order that follows from it leaves, and an end is recorded before the worker may
+forget it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import fleet
+from pimentobridge.core.scheduling import ledger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core import types
+    from pimentobridge.core.jobs import configuration
+
+# How long an agent acts on one set of orders, by its boot-time clock.
+ORDER_VALIDITY_S = 2.0
+# A worker's steady clock may be this much slow.
+CLOCK_RATE_ERROR = 0.02
+# Room for rounding and for calls on their way within a machine.
+LEASE_SLACK_S = 0.5
+
+
+class Engine:
+    """Jobs, workers and the runs between them.
+
+    Args:
+        clock: source of time; monotonic time must count suspended time.
+        max_lease_s: longest lease that a worker may hold.
+        log: takes a message and its fields, one line for each decision.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        max_lease_s: float,
+        log: Callable[..., None],
+    ) -> None:
+        self._clock = clock
+        self._log = log
+        self._started_s = clock.monotonic()
+        self._lost_after_s = (
+            ORDER_VALIDITY_S
+            + max_lease_s * (1 + CLOCK_RATE_ERROR)
+            + LEASE_SLACK_S
+        )
+        self.jobs_by_id: dict[types.JobId, ledger.TrackedJob] = {}
+        self.workers_by_life: dict[runs.LifeKey, fleet.TrackedWorker] = {}
+        self.life_by_agent: dict[types.Address, runs.LifeKey] = {}
+        self.dirty_by_id: dict[types.JobId, ledger.TrackedJob] = {}
+        self.configuration: configuration.JobConfiguration | None = None
+        self.needs_pass = True
+
+    # Jobs.
+
+    def put_job(
+        self,
+        job: model.Job,
+        progress: progress_lib.Progress | None = None,
+        *,
+        revision: int = 0,
+    ) -> None:
+        """Takes a job from the store, or a newer form of its submission.
+
+        Args:
+            job: the submission.
+            progress: its record, for one that this scheduler takes over.
+            revision: the record's revision.
+        """
+        tracked = self.jobs_by_id.get(job.id)
+        if tracked is None:
+            tracked = ledger.TrackedJob(
+                job=job,
+                progress=progress or progress_lib.Progress(),
+                first_seen_s=self._clock.monotonic(),
+                revision=revision,
+            )
+            self.jobs_by_id[job.id] = tracked
+            self._adopt_runs(tracked)
+            self._log(
+                "job known",
+                job=job.id,
+                queue=job.queue.name,
+                account=job.account,
+                state=tracked.state.value,
+            )
+        tracked.job = job
+        if job.cancelled and not tracked.progress.state.ended:
+            self._end_job(tracked, progress_lib.JobState.CANCELLED)
+        self.needs_pass = True
+
+    def forget_job(self, job: types.JobId) -> None:
+        """Drops a job whose record was deleted."""
+        self.jobs_by_id.pop(job, None)
+        self.dirty_by_id.pop(job, None)
+
+    def _adopt_runs(self, tracked: ledger.TrackedJob) -> None:
+        for number, step, unit in tracked.progress.units():
+            if unit.status not in (
+                progress_lib.UnitStatus.ACTIVE,
+                progress_lib.UnitStatus.ENDING,
+            ):
+                continue
+            for member, place in enumerate(unit.placements):
+                if not place.over:
+                    name = model.TaskName(
+                        tracked.id, number, step, unit.first + member
+                    )
+                    key = runs.LifeKey(place.worker, place.born_ms)
+                    self._worker(key).add(
+                        ledger.RunEntry(
+                            tracked, name, unit, unit.run, member, 0
+                        )
+                    )
+
+    def _worker(self, key: runs.LifeKey) -> fleet.TrackedWorker:
+        worker = self.workers_by_life.get(key)
+        if worker is None:
+            worker = fleet.TrackedWorker(key, self._clock.monotonic())
+            self.workers_by_life[key] = worker
+        return worker
+
+    def mark_changed(self, tracked: ledger.TrackedJob) -> None:
+        """Notes that a job's record must be written."""
+        tracked.changes += 1
+        self.dirty_by_id[tracked.id] = tracked
+
+    def _end_job(
+        self, tracked: ledger.TrackedJob, state: progress_lib.JobState
+    ) -> None:
+        tracked.progress.state = state
+        tracked.ended_s = self._clock.monotonic()
+        for worker in self.workers_by_life.values():
+            for entry in worker.entries_by_key.values():
+                if entry.tracked is tracked and (
+                    entry.unit.status is not progress_lib.UnitStatus.DONE
+                ):
+                    entry.stop = True
+        self.mark_changed(tracked)
+        self._log("job ended", job=tracked.id, state=state.value)
+
+    # Workers.
+
+    def observe(
+        self, agent: types.Address, seen: runs.Observation
+    ) -> fleet.TrackedWorker:
+        """Takes in an agent's report and returns its worker."""
+        key = seen.life.key
+        earlier = self.life_by_agent.get(agent)
+        if earlier is not None and earlier.born_ms > key.born_ms:
+            return self._worker(earlier)
+        if earlier is not None and earlier != key:
+            self._bury(earlier, "replaced by a new life")
+        self._bury_earlier_lives(key)
+        worker = self._worker(key)
+        if worker.life is None or worker.life != seen.life:
+            self._log(
+                "worker known",
+                worker=key.worker,
+                born_ms=key.born_ms,
+                draining=seen.life.draining,
+            )
+            self.needs_pass = True
+        self.life_by_agent[agent] = key
+        worker.agent, worker.life = agent, seen.life
+        worker.heard_s = self._clock.monotonic()
+        for end in sorted(seen.ended, key=lambda end: end.number):
+            if end.number > worker.processed:
+                worker.processed = end.number
+                self._on_end(worker, end)
+        self._take_running(worker, seen)
+        for refused in seen.refused:
+            self._resolve(worker, refused, "refused")
+        ended = {end.key for end in seen.ended}
+        for sealed in seen.sealed:
+            if sealed not in ended and sealed not in worker.listed:
+                self._resolve(worker, sealed, "stopped before it ran")
+        worker.advance_seen()
+        return worker
+
+    def _bury_earlier_lives(self, key: runs.LifeKey) -> None:
+        for other in list(self.workers_by_life):
+            if other.worker == key.worker and other.born_ms < key.born_ms:
+                self._bury(other, "replaced by a new life")
+
+    def _bury(self, key: runs.LifeKey, reason: str) -> None:
+        """Ends all runs of a life that is surely over."""
+        worker = self.workers_by_life.pop(key, None)
+        if worker is None:
+            return
+        self._log("worker lost", worker=key.worker, reason=reason)
+        for run in list(worker.entries_by_key):
+            self._resolve(worker, run, reason)
+        self.needs_pass = True
+
+    def _take_running(
+        self, worker: fleet.TrackedWorker, seen: runs.Observation
+    ) -> None:
+        strangers: dict[runs.RunKey, model.Resources] = {}
+        ended = {end.key for end in seen.ended}
+        for row in seen.running:
+            entry = worker.entries_by_key.get(row.key)
+            if entry is not None:
+                if entry.started_s is None:
+                    entry.started_s = self._clock.monotonic()
+                entry.percent = row.percent
+                if row.checkpoint and entry.is_current:
+                    entry.unit.checkpoint = row.checkpoint
+            elif row.key not in ended:
+                strangers[row.key] = self._footprint_of(row.key)
+        if strangers.keys() != worker.strangers_by_key.keys():
+            self.needs_pass = True
+        worker.set_strangers(strangers)
+        worker.listed = frozenset(row.key for row in seen.running)
+
+    def _footprint_of(self, key: runs.RunKey) -> model.Resources:
+        try:
+            name = model.TaskName.parse(key.task)
+        except ValueError:
+            return model.NOTHING
+        tracked = self.jobs_by_id.get(name.job)
+        if tracked is None or name.step >= len(tracked.job.steps):
+            return model.NOTHING
+        return tracked.step_of(name.step).footprint
+
+    # Ends.
+
+    def _on_end(self, worker: fleet.TrackedWorker, end: runs.EndedRun) -> None:
+        entry = worker.remove(end.key)
+        if entry is None:
+            worker.unrecorded.append((end.number, None, 0))
+            return
+        self.needs_pass = True
+        tracked, unit = entry.tracked, entry.unit
+        self._log(
+            "run ended",
+            job=tracked.id,
+            task=end.key.task,
+            run=end.key.run,
+            worker=worker.key.worker,
+            cause=end.cause.value,
+        )
+        if unit.run == entry.run:
+            unit.placements[entry.member].over = True
+            self._apply_end(worker, entry, end)
+            self.mark_changed(tracked)
+        worker.unrecorded.append((end.number, tracked, tracked.changes))
+
+    def _apply_end(
+        self,
+        worker: fleet.TrackedWorker,
+        entry: ledger.RunEntry,
+        end: runs.EndedRun,
+    ) -> None:
+        tracked, unit = entry.tracked, entry.unit
+        if end.cause is runs.EndCause.DONE:
+            worker.health.on_done()
+            if not entry.step.long_running:
+                unit.status = progress_lib.UnitStatus.DONE
+                self._finish_if_done(tracked, entry.name.occurrence)
+                return
+        if unit.status is progress_lib.UnitStatus.DONE:
+            return
+        if end.checkpoint:
+            unit.checkpoint = end.checkpoint
+        if end.cause is runs.EndCause.FAILED:
+            if worker.health.on_failed(tracked.id, self._clock.monotonic()):
+                self._log(
+                    "worker ejected",
+                    worker=worker.key.worker,
+                    until_s=worker.health.ejected_until_s,
+                )
+            if unit.counted_run < entry.run:
+                unit.counted_run = entry.run
+                unit.failures += 1
+        unit.status = progress_lib.UnitStatus.ENDING
+        self._fail_if_exhausted(tracked, entry)
+        self._settle(tracked, unit)
+
+    def _fail_if_exhausted(
+        self, tracked: ledger.TrackedJob, entry: ledger.RunEntry
+    ) -> None:
+        if (
+            entry.unit.failures >= tracked.job.queue.max_attempts
+            and not entry.step.long_running
+            and not tracked.state.ended
+        ):
+            self._end_job(tracked, progress_lib.JobState.FAILED)
+
+    def _finish_if_done(self, tracked: ledger.TrackedJob, number: int) -> None:
+        progress = tracked.progress
+        occurrence = progress.occurrences_by_number.get(number)
+        if occurrence is None or not occurrence.done:
+            return
+        if tracked.job.occurrences:
+            del progress.occurrences_by_number[number]
+        progress.finished_occurrences += 1
+        if progress.finished_occurrences >= max(1, tracked.job.occurrences):
+            self._end_job(tracked, progress_lib.JobState.COMPLETED)
+
+    def _resolve(
+        self, worker: fleet.TrackedWorker, key: runs.RunKey, reason: str
+    ) -> None:
+        """Ends a run that surely isn't at work and never will be."""
+        entry = worker.remove(key)
+        if entry is None:
+            return
+        self.needs_pass = True
+        unit = entry.unit
+        self._log(
+            "run over",
+            job=entry.tracked.id,
+            task=key.task,
+            run=key.run,
+            worker=worker.key.worker,
+            reason=reason,
+        )
+        if unit.run != entry.run or (
+            unit.status is progress_lib.UnitStatus.DONE
+        ):
+            return
+        unit.placements[entry.member].over = True
+        unit.status = progress_lib.UnitStatus.ENDING
+        self._settle(entry.tracked, unit)
+        self.mark_changed(entry.tracked)
+
+    def _settle(
+        self, tracked: ledger.TrackedJob, unit: progress_lib.Unit
+    ) -> None:
+        """Lets a unit wait again once no member can be at work."""
+        if unit.status is progress_lib.UnitStatus.ENDING and all(
+            place.over for place in unit.placements
+        ):
+            unit.status = progress_lib.UnitStatus.WAITING
+            unit.placements = []
+
+    # Time.
+
+    def declare_lost(self) -> None:
+        """Gives up the workers whose leases must have run out."""
+        now_s = self._clock.monotonic()
+        for key, worker in list(self.workers_by_life.items()):
+            if now_s - worker.heard_s > self._lost_after_s:
+                self._bury(key, "silent past its lease")
+                if worker.agent is not None:
+                    self.life_by_agent.pop(worker.agent, None)
+
+    def make_due(self, early_s: float) -> None:
+        """Opens the occurrences whose time has come."""
+        now_ms = self._clock.now().timestamp() * 1000
+        for tracked in self.jobs_by_id.values():
+            if tracked.state.ended:
+                continue
+            job, progress = tracked.job, tracked.progress
+            while True:
+                number = progress.finished_occurrences + len(
+                    progress.occurrences_by_number
+                )
+                if number >= max(1, job.occurrences):
+                    break
+                due_ms = job.first_due_ms + number * job.interval_ms
+                if job.occurrences and now_ms < due_ms - early_s * 1000 / 2:
+                    break
+                progress.occurrences_by_number[number] = (
+                    progress_lib.new_occurrence(job)
+                )
+                self.needs_pass = True
+
+    # Records and orders.
+
+    def on_recorded(self, job: types.JobId, change: int, revision: int) -> None:
+        """Notes that the store has a job's record as of a change."""
+        tracked = self.jobs_by_id.get(job)
+        if tracked is None:
+            return
+        tracked.recorded = max(tracked.recorded, change)
+        tracked.revision = revision
+        if tracked.recorded >= tracked.changes:
+            self.dirty_by_id.pop(job, None)
+
+    def instructions(self, worker: fleet.TrackedWorker) -> runs.Instructions:
+        """Returns all that a worker is to do now."""
+        worker.advance_seen()
+        starts: list[runs.StartOrder] = []
+        stops: list[runs.RunKey] = []
+        for key, entry in worker.entries_by_key.items():
+            unit = entry.unit
+            if unit.status is progress_lib.UnitStatus.DONE:
+                continue
+            if entry.stop or not entry.is_current:
+                stops.append(key)
+            elif key not in worker.listed and (
+                entry.tracked.recorded >= entry.ordered_at_change
+            ):
+                starts.append(
+                    runs.StartOrder(
+                        key, entry.tracked.job.spec, unit.checkpoint
+                    )
+                )
+        stops.extend(
+            key
+            for key in worker.strangers_by_key
+            if not self._belongs_to_done_unit(key)
+        )
+        return runs.Instructions(
+            worker.key, worker.seen, tuple(starts), tuple(stops)
+        )
+
+    def _belongs_to_done_unit(self, key: runs.RunKey) -> bool:
+        try:
+            name = model.TaskName.parse(key.task)
+        except ValueError:
+            return False
+        tracked = self.jobs_by_id.get(name.job)
+        if tracked is None:
+            return False
+        if tracked.progress.state is progress_lib.JobState.COMPLETED:
+            return True
+        unit = tracked.progress.unit_of(name)
+        return unit is not None and unit.status is progress_lib.UnitStatus.DONE
--- /dev/null
+++ b/pimentobridge/core/scheduling/guarantees.py
@@ -0,0 +1,47 @@
+"""Which urgent jobs are within their account's guarantee."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pimentobridge.core import types
+    from pimentobridge.core.jobs import configuration
+    from pimentobridge.core.scheduling import ledger
+
+URGENT_PRIORITY = 0
+
+
+def accelerators_of(tracked: ledger.TrackedJob) -> int:
+    """Returns how many accelerators the job's tasks take together."""
+    return sum(
+        step.count * step.request.accelerators for step in tracked.job.steps
+    )
+
+
+def entitled_jobs(
+    jobs: Iterable[ledger.TrackedJob],
+    accounts_by_name: dict[types.AccountName, configuration.ClientAccount],
+) -> set[types.JobId]:
+    """Returns the urgent jobs that the guarantees cover.
+
+    An account's jobs count in the order in which they came, as long as their
+    sum stays within the guarantee.
+    """
+    used: collections.Counter[types.AccountName] = collections.Counter()
+    entitled: set[types.JobId] = set()
+    for tracked in sorted(jobs, key=lambda job: job.first_seen_s):
+        queue = tracked.job.queue
+        if queue.priority != URGENT_PRIORITY or tracked.state.ended:
+            continue
+        account = accounts_by_name.get(tracked.job.account)
+        if account is None:
+            continue
+        need = accelerators_of(tracked)
+        if used[account.name] + need <= account.guaranteed_accelerators:
+            used[account.name] += need
+            entitled.add(tracked.id)
+    return entitled
--- /dev/null
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -0,0 +1,167 @@
+"""Chooses runs to stop so that a guaranteed job gets its room."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pimentobridge.core.jobs import model
+from pimentobridge.core.scheduling import guarantees
+from pimentobridge.core.scheduling import placement
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pimentobridge.core import types
+    from pimentobridge.core.jobs import progress
+    from pimentobridge.core.jobs import runs
+    from pimentobridge.core.scheduling import fleet
+    from pimentobridge.core.scheduling import ledger
+
+# Weight of an accelerator beside a core in the work that a stop throws away.
+CORES_PER_ACCELERATOR = 8
+
+
+class Victim:
+    """A unit that may be stopped, with the room that this frees."""
+
+    def __init__(self, unit: progress.Unit) -> None:
+        self.unit = unit
+        self.entries: list[tuple[fleet.TrackedWorker, ledger.RunEntry]] = []
+
+    @property
+    def lost_work(self) -> float:
+        """Core-seconds that a stop would throw away."""
+        return sum(_lost(entry) for _, entry in self.entries)
+
+    @property
+    def priority(self) -> int:
+        """Priority of the unit's queue."""
+        return self.entries[0][1].tracked.job.queue.priority
+
+    def freed(self) -> placement.Rooms:
+        """Returns the room that a stop frees, by worker."""
+        freed: placement.Rooms = {}
+        for worker, entry in self.entries:
+            had = freed.get(worker.key, model.NOTHING)
+            freed[worker.key] = had + entry.step.footprint
+        return freed
+
+
+def _lost(entry: ledger.RunEntry) -> float:
+    step = entry.step
+    if step.checkpointing or entry.percent is None:
+        return 0.0
+    cores = step.request.cpu_millicores / 1000
+    cores += step.request.accelerators * CORES_PER_ACCELERATOR
+    return cores * step.estimate_s * entry.percent / 100
+
+
+def possible_victims(
+    workers: Iterable[fleet.TrackedWorker], entitled: set[types.JobId]
+) -> list[Victim]:
+    """Returns the units that a guaranteed job may displace, cheapest first."""
+    by_unit: dict[int, Victim] = {}
+    for worker in workers:
+        for entry in worker.entries_by_key.values():
+            if (
+                entry.stop
+                or not entry.is_current
+                or _protected(entry, entitled)
+            ):
+                continue
+            victim = by_unit.setdefault(id(entry.unit), Victim(entry.unit))
+            victim.entries.append((worker, entry))
+    return sorted(
+        by_unit.values(),
+        key=lambda victim: (
+            victim.lost_work,
+            -victim.priority,
+            str(victim.entries[0][1].name),
+        ),
+    )
+
+
+def _protected(entry: ledger.RunEntry, entitled: set[types.JobId]) -> bool:
+    urgent = entry.tracked.job.queue.priority == guarantees.URGENT_PRIORITY
+    return entry.step.long_running or (urgent and entry.tracked.id in entitled)
+
+
+def choose(
+    candidates: placement.Candidates,
+    step: model.Step,
+    size: int,
+    *,
+    service: str,
+    rooms: placement.Rooms,
+    victims: list[Victim],
+) -> tuple[list[Victim], list[runs.LifeKey]] | None:
+    """Returns the victims to stop and the places that they free.
+
+    Args:
+        candidates: workers that take tasks.
+        step: what each member needs.
+        size: number of members.
+        service: pool that the queue belongs to.
+        rooms: free room, with that of runs which are being stopped.
+        victims: units that may be stopped, cheapest first.
+    """
+    hoped = dict(rooms)
+    picked: list[Victim] = []
+    places = None
+    for victim in victims:
+        picked.append(victim)
+        for key, amount in victim.freed().items():
+            if key in hoped:
+                hoped[key] += amount
+        places = placement.place(
+            candidates, step, size, service=service, rooms=hoped
+        )
+        if places is not None:
+            break
+    if places is None:
+        return None
+    return _needed(candidates, step, size, service, rooms, picked)
+
+
+def _needed(
+    candidates: placement.Candidates,
+    step: model.Step,
+    size: int,
+    service: str,
+    rooms: placement.Rooms,
+    picked: list[Victim],
+) -> tuple[list[Victim], list[runs.LifeKey]] | None:
+    """Drops the victims that aren't needed, dearest first."""
+    kept = list(picked)
+    places = None
+    for victim in reversed(picked):
+        trial = [other for other in kept if other is not victim]
+        found = placement.place(
+            candidates,
+            step,
+            size,
+            service=service,
+            rooms=_with_freed(rooms, trial),
+        )
+        if found is not None:
+            kept, places = trial, found
+    if places is None:
+        places = placement.place(
+            candidates,
+            step,
+            size,
+            service=service,
+            rooms=_with_freed(rooms, kept),
+        )
+    return None if places is None else (kept, places)
+
+
+def _with_freed(
+    rooms: placement.Rooms, victims: list[Victim]
+) -> placement.Rooms:
+    hoped = dict(rooms)
+    for victim in victims:
+        for key, amount in victim.freed().items():
+            if key in hoped:
+                hoped[key] += amount
+    return hoped
--- /dev/null
+++ b/pimentobridge/daemons/http_server.py
@@ -0,0 +1,30 @@
+"""Serving ASGI applications with hypercorn."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import hypercorn.config
+import hypercorn.trio
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    import trio
+
+ACCEPT_BACKLOG = 512
+CLOSE_TIMEOUT_S = 0.5
+KEEP_ALIVE_S = 20.0
+
+
+async def serve(app: Any, binds: Sequence[str], stopped: trio.Event) -> None:
+    """Serves an application at all of `binds` until `stopped` is set."""
+    config = hypercorn.config.Config()
+    config.bind = list(binds)
+    config.backlog = ACCEPT_BACKLOG
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = CLOSE_TIMEOUT_S
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    await hypercorn.trio.serve(app, config, shutdown_trigger=stopped.wait)
--- /dev/null
+++ b/pimentobridge/daemons/job_api.py
@@ -0,0 +1,190 @@
+"""What callers and the balancer speak to an entry on the platform."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import result
+
+from pimentobridge.core import types
+from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.daemons import http
+from pimentobridge.daemons import job_entry
+from pimentobridge.daemons import logs
+from pimentobridge.platform import submissions
+
+if TYPE_CHECKING:
+    from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core.jobs import configuration
+
+READINESS_PATH = "/v1/readiness"
+DEFAULT_TIMEOUT_S = 3.0
+# Share of a caller's time that the entry may use before it answers.
+ANSWER_WITHIN = 0.85
+RETRY_AFTER_S = 1
+JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
+
+
+class CallerApi:
+    """ASGI application of an entry.
+
+    Args:
+        entry: takes and knows the jobs.
+        clock: source of time.
+    """
+
+    def __init__(
+        self, entry: job_entry.JobEntry, *, clock: clock_lib.Clock
+    ) -> None:
+        self._entry = entry
+        self._clock = clock
+
+    async def __call__(
+        self, scope: http.Scope, receive: Any, send: Any
+    ) -> None:
+        """Serves one request."""
+        if scope["type"] == "lifespan":
+            await http.accept_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        await http.send_response(send, await self._respond(scope, receive))
+
+    async def _respond(self, scope: http.Scope, receive: Any) -> http.Response:
+        path: str = scope["path"]
+        if path == READINESS_PATH:
+            return _answer(200 if self._entry.ready else 503)
+        document = self._entry.configuration
+        if document is None:
+            return _refusal("no configuration has arrived yet")
+        host = http.header(scope, "host").partition(":")[0]
+        queue = document.queue_for(host, path)
+        if queue is None:
+            return _error(404, f"no queue takes {path} at host {host!r}.")
+        account = types.AccountName("")
+        if not queue.anonymous:
+            scheme, _, key = http.header(scope, "authorization").partition(" ")
+            holder = document.account_of(key) if scheme == "Bearer" else None
+            if holder is None:
+                return _error(
+                    401, "the key isn't known; send a key of the account."
+                )
+            account = holder.name
+        return await self._serve(scope, receive, queue, account)
+
+    async def _serve(
+        self,
+        scope: http.Scope,
+        receive: Any,
+        queue: configuration.Queue,
+        account: types.AccountName,
+    ) -> http.Response:
+        method = scope["method"]
+        rest = scope["path"][len(queue.prefix) :]
+        if not rest and method == "GET":
+            pending = self._entry.pending_of(queue.name)
+            return _answer(200, {"pending": pending})
+        if not JOB_ID.match(rest):
+            return _error(
+                400, f"received job id {rest!r}; 16 hexadecimal digits needed."
+            )
+        job_id = types.JobId(rest)
+        deadline_s = self._deadline_s(scope)
+        if method == "POST":
+            body = await self._body(receive)
+            if body is None:
+                return _error(413, "the body is longer than the limit.")
+            return await self._submit(body, job_id, queue, account, deadline_s)
+        if method == "GET":
+            return await self._state(job_id, deadline_s)
+        if method == "DELETE":
+            return await self._cancel(job_id, deadline_s)
+        return _error(405, f"received {method}; use POST, GET or DELETE.")
+
+    async def _body(self, receive: Any) -> bytes | None:
+        document = self._entry.configuration
+        limit = document.max_body_bytes if document else http.MAX_BODY_BYTES
+        try:
+            return await http.read_body(receive, limit)
+        except http.BodyTooLargeError:
+            return None
+
+    async def _submit(
+        self,
+        body: bytes,
+        job_id: types.JobId,
+        queue: configuration.Queue,
+        account: types.AccountName,
+        deadline_s: float,
+    ) -> http.Response:
+        decoded = submissions.decode(
+            body,
+            job=job_id,
+            queue=queue,
+            account=account,
+            now_ms=int(self._clock.now().timestamp() * 1000),
+        )
+        if isinstance(decoded, result.Err):
+            logs.event("job invalid", job=job_id, why=decoded.err_value.detail)
+            return _error(400, str(decoded.err_value))
+        written = await self._entry.submit(decoded.ok_value, deadline_s)
+        logs.event(
+            "job submitted",
+            job=job_id,
+            queue=queue.name,
+            account=account,
+            outcome=written.value,
+        )
+        if written is job_entry.Written.WRITTEN:
+            return _answer(200, {})
+        if written is job_entry.Written.NOT_WRITTEN:
+            return _refusal("the store doesn't take jobs at the moment")
+        return _error(504, "the store didn't answer; repeat under the same id.")
+
+    async def _state(
+        self, job_id: types.JobId, deadline_s: float
+    ) -> http.Response:
+        state = await self._entry.state_of(job_id, deadline_s)
+        if isinstance(state, progress_lib.JobState):
+            return _answer(200, {"state": state.value})
+        if state is job_entry.Written.ABSENT:
+            logs.event("job unknown", job=job_id)
+            return _error(410, "there is no such job.")
+        return _error(504, "the job's state isn't known now; ask again.")
+
+    async def _cancel(
+        self, job_id: types.JobId, deadline_s: float
+    ) -> http.Response:
+        written = await self._entry.cancel(job_id, deadline_s)
+        logs.event("job cancelled", job=job_id, outcome=written.value)
+        if written is job_entry.Written.WRITTEN:
+            return _answer(200, {})
+        if written is job_entry.Written.ABSENT:
+            return _error(410, "there is no such job.")
+        return _error(504, "the store didn't answer; cancel again.")
+
+    def _deadline_s(self, scope: http.Scope) -> float:
+        text = http.header(scope, "timeout-ms")
+        timeout_s = int(text) / 1000 if text.isdigit() else DEFAULT_TIMEOUT_S
+        return self._clock.monotonic() + timeout_s * ANSWER_WITHIN
+
+
+def _answer(status: int, body: object | None = None) -> http.Response:
+    content = b"" if body is None else msgspec.json.encode(body)
+    return http.Response(status, content)
+
+
+def _error(status: int, detail: str) -> http.Response:
+    return http.Response(status, msgspec.json.encode({"error": detail}))
+
+
+def _refusal(why: str) -> http.Response:
+    body = {"error": f"not run: {why}.", "retry_after_s": RETRY_AFTER_S}
+    return http.Response(
+        503,
+        msgspec.json.encode(body),
+        headers=[(b"retry-after", str(RETRY_AFTER_S).encode())],
+    )
--- /dev/null
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -0,0 +1,72 @@
+"""Running an entry on the platform as a process."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import uuid
+
+import trio
+
+from pimentobridge.core import types
+from pimentobridge.daemons import boot_clock
+from pimentobridge.daemons import http_server
+from pimentobridge.daemons import job_api
+from pimentobridge.daemons import job_entry
+from pimentobridge.daemons import logs
+from pimentobridge.platform import boot_settings
+from pimentobridge.platform import kv_store
+from pimentobridge.protocol import zmq_transport
+
+# Callers' connections are served on until this long before the kill.
+KILL_MARGIN_S = 1.5
+
+
+def main() -> int:
+    """Runs an entry until it is told to stop."""
+    settings = boot_settings.load(boot_settings.path_from_environment())
+    logs.set_up(settings.node)
+    return trio.run(_run, settings)
+
+
+async def _run(settings: boot_settings.ProcessSettings) -> int:
+    clock = boot_clock.BootClock()
+    entry = job_entry.JobEntry(
+        settings=settings,
+        endpoint=zmq_transport.ZmqEndpoint(
+            types.Address(f"tcp://{settings.ip}:{settings.internal_ports[0]}")
+        ),
+        store=kv_store.KvStore(settings.store),
+        clock=clock,
+        nonce=uuid.uuid4().hex,
+    )
+    app = job_api.CallerApi(entry, clock=clock)
+    binds = [settings.front, settings.ready]
+    if settings.control:
+        binds.append(settings.control)
+    stopped = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(entry.run)
+        nursery.start_soon(http_server.serve, app, binds, stopped)
+        logs.event("started", role="entry", settings=str(settings))
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as received:
+            async for number in received:
+                if number != signal.SIGHUP:
+                    break
+                logs.event("reload", changed="nothing that is in use")
+        logs.event("draining")
+        entry.draining = True
+        with trio.move_on_after(settings.grace_s - KILL_MARGIN_S):
+            await entry.leadership.resign()
+            await trio.sleep_forever()
+        stopped.set()
+        await trio.sleep(http_server.CLOSE_TIMEOUT_S)
+        nursery.cancel_scope.cancel()
+    logs.event("stopped")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pimentobridge/daemons/scheduling.py
@@ -0,0 +1,232 @@
+"""The scheduler's tasks: the role of the entry that holds the key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import engine as engine_lib
+from pimentobridge.core.scheduling import planner as planner_lib
+from pimentobridge.daemons import keys
+from pimentobridge.daemons import logs
+from pimentobridge.daemons import recorder as recorder_lib
+from pimentobridge.protocol import control
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core import types
+    from pimentobridge.core.jobs import configuration
+    from pimentobridge.core.jobs import model
+    from pimentobridge.daemons import leadership as leadership_lib
+    from pimentobridge.platform import boot_settings
+    from pimentobridge.platform import kv_store
+    from pimentobridge.protocol import transport
+
+TICK_S = 0.1
+# An agent that hasn't answered is called again after this, over a new
+# connection after a few calls.
+CALL_INTERVAL_S = 0.3
+RESET_SILENCE_S = 1.2
+
+
+class AgentLink:
+    """What the scheduler has sent an agent and heard from it."""
+
+    def __init__(self, now_s: float) -> None:
+        self.echo_s = 0.0
+        self.heard_s = now_s
+        self.called_s = 0.0
+        self.reset_s = now_s
+        self.sent: runs.Instructions | None = None
+
+
+class Scheduler:
+    """One term of scheduling, from taking the key to losing it.
+
+    Args:
+        endpoint: where orders leave.
+        clock: source of time.
+        store: the platform's store.
+        leadership: this entry's hold of the key.
+        settings: the figures of the promises.
+        entries: returns the addresses of all entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: transport.Outbox,
+        address: types.Address,
+        clock: clock_lib.Clock,
+        store: kv_store.KvStore,
+        leadership: leadership_lib.Leadership,
+        settings: boot_settings.ProcessSettings,
+        entries: Callable[[], tuple[types.Address, ...]],
+    ) -> None:
+        if leadership.token is None:
+            raise RuntimeError(
+                "received a term without the key; win the key first."
+            )
+        self.token = leadership.token
+        self._endpoint = endpoint
+        self._address = address
+        self._clock = clock
+        self._leadership = leadership
+        self._settings = settings
+        self._entries = entries
+        self._wake = trio.Event()
+        self._links_by_agent: dict[types.Address, AgentLink] = {}
+        self.engine = engine_lib.Engine(
+            clock=clock, max_lease_s=settings.max_lease_s, log=logs.event
+        )
+        self._planner = planner_lib.Planner(
+            self.engine, clock=clock, log=logs.event
+        )
+        self.recorder = recorder_lib.Recorder(
+            store=store,
+            engine=self.engine,
+            token=self.token,
+            on_recorded=self._send_changed_orders,
+            on_deposed=lambda: leadership.depose("another entry holds the key"),
+        )
+
+    async def run(self) -> None:
+        """Schedules until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.recorder.run)
+            while True:
+                if self._leadership.acting:
+                    self._step()
+                with trio.move_on_after(TICK_S):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+
+    def put_job(
+        self,
+        job: model.Job,
+        progress: progress_lib.Progress | None = None,
+        *,
+        revision: int = 0,
+    ) -> None:
+        """Takes a submission from the store, with its record if any."""
+        self.engine.put_job(job, progress, revision=revision)
+        self._wake.set()
+
+    def set_configuration(
+        self, document: configuration.JobConfiguration
+    ) -> None:
+        """Puts a newer configuration in force."""
+        self.engine.configuration = document
+        self.engine.needs_pass = True
+        self._wake.set()
+
+    def know_agent(self, agent: types.Address) -> None:
+        """Starts to call an agent."""
+        if agent not in self._links_by_agent:
+            self._links_by_agent[agent] = AgentLink(self._clock.monotonic())
+            self._wake.set()
+
+    def on_report(self, report: control.WorkerReport) -> None:
+        """Takes an agent's report and answers it."""
+        self.know_agent(report.agent)
+        link = self._links_by_agent[report.agent]
+        if report.sent_s <= link.echo_s:
+            return
+        if report.token > self.token:
+            logs.event(
+                "agent obeys a newer scheduler",
+                agent=report.agent,
+                token=report.token,
+            )
+            return
+        link.echo_s = report.sent_s
+        link.heard_s = self._clock.monotonic()
+        if report.worker is not None and report.token == self.token:
+            self.engine.observe(report.agent, report.worker)
+        self._send_orders(report.agent, link)
+        if self.engine.needs_pass or self.engine.dirty_by_id:
+            self._wake.set()
+
+    def pending_by_queue(self) -> dict[str, int]:
+        """Returns how many jobs of each queue haven't started."""
+        counts: dict[str, int] = {}
+        for tracked in self.engine.jobs_by_id.values():
+            if tracked.state is progress_lib.JobState.QUEUED:
+                name = tracked.job.queue.name
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def _step(self) -> None:
+        engine = self.engine
+        engine.declare_lost()
+        engine.make_due(self._settings.early_s)
+        if engine.needs_pass:
+            self._planner.run()
+        if engine.dirty_by_id:
+            self.recorder.wake()
+        self._send_changed_orders()
+        self._call_silent_agents()
+
+    def _send_changed_orders(self) -> None:
+        for agent, link in self._links_by_agent.items():
+            instructions = self._instructions_for(agent)
+            if instructions is not None and instructions != link.sent:
+                self._send_orders(agent, link)
+
+    def _call_silent_agents(self) -> None:
+        now_s = self._clock.monotonic()
+        for agent, link in self._links_by_agent.items():
+            if now_s - max(link.heard_s, link.called_s) < CALL_INTERVAL_S:
+                continue
+            silent_s = now_s - max(link.heard_s, link.reset_s)
+            if silent_s > RESET_SILENCE_S:
+                link.reset_s = now_s
+                self._endpoint.reset(agent)
+            link.called_s = now_s
+            self._send_orders(agent, link)
+
+    def _instructions_for(
+        self, agent: types.Address
+    ) -> runs.Instructions | None:
+        life = self.engine.life_by_agent.get(agent)
+        worker = self.engine.workers_by_life.get(life) if life else None
+        return self.engine.instructions(worker) if worker else None
+
+    def _send_orders(self, agent: types.Address, link: AgentLink) -> None:
+        if not self._leadership.acting:
+            return
+        link.sent = self._instructions_for(agent)
+        self._endpoint.send(
+            agent,
+            control.WorkerOrders(
+                scheduler=self._address,
+                token=self.token,
+                echo_s=link.echo_s,
+                worker=link.sent,
+                entries=self._entries(),
+            ),
+        )
+
+
+def load(scheduler: Scheduler, items: dict[str, kv_store.Item]) -> None:
+    """Gives a new scheduler all that the store holds."""
+    for key, item in items.items():
+        if item.value is None:
+            continue
+        if key.startswith(keys.AGENTS):
+            scheduler.know_agent(keys.address_of(key))
+        elif key.startswith(keys.JOBS):
+            record = items.get(keys.progress(keys.job_id_of(key)))
+            progress = None
+            if record is not None and record.value is not None:
+                progress = progress_lib.decode_progress(record.value)
+            scheduler.put_job(
+                progress_lib.decode_job(item.value),
+                progress,
+                revision=0 if record is None else record.revision,
+            )
--- /dev/null
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -0,0 +1,83 @@
+"""Running an agent on the platform as a process."""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+import trio
+
+from pimentobridge.core import types
+from pimentobridge.daemons import boot_clock
+from pimentobridge.daemons import http_server
+from pimentobridge.daemons import keys
+from pimentobridge.daemons import logs
+from pimentobridge.daemons import worker_agent
+from pimentobridge.daemons import worker_api
+from pimentobridge.platform import boot_settings
+from pimentobridge.platform import kv_store
+from pimentobridge.platform import runner as runner_lib
+from pimentobridge.protocol import zmq_transport
+
+ANNOUNCE_PAUSE_S = 0.5
+
+
+def main() -> int:
+    """Runs an agent until it is told to stop."""
+    settings = boot_settings.load(boot_settings.path_from_environment())
+    logs.set_up(settings.node)
+    return trio.run(_run, settings)
+
+
+async def _run(settings: boot_settings.ProcessSettings) -> int:
+    port = settings.internal_ports[0]
+    address = types.Address(f"tcp://{settings.ip}:{port}")
+    agent = worker_agent.WorkerAgent(
+        settings=settings,
+        endpoint=zmq_transport.ZmqEndpoint(address),
+        runner=runner_lib.Runner(settings.worker),
+        clock=boot_clock.BootClock(),
+        entries=tuple(
+            types.Address(f"tcp://{seed.rpartition(':')[0]}:{port}")
+            for seed in settings.seeds
+        ),
+    )
+    stopped = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(agent.run)
+        nursery.start_soon(_announce, kv_store.KvStore(settings.store), address)
+        nursery.start_soon(
+            http_server.serve,
+            worker_api.WorkerApi(agent),
+            [settings.control],
+            stopped,
+        )
+        logs.event("started", role="agent", settings=str(settings))
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as received:
+            async for number in received:
+                if number != signal.SIGHUP:
+                    break
+                logs.event("reload", changed="nothing that is in use")
+        with trio.move_on_after(http_server.CLOSE_TIMEOUT_S):
+            await agent.leave()
+        logs.event("stopped")
+        nursery.cancel_scope.cancel()
+    return 0
+
+
+async def _announce(store: kv_store.KvStore, address: types.Address) -> None:
+    """Tells the scheduler where this agent listens."""
+    while True:
+        written = await store.transact(
+            expected={keys.agent(address): kv_store.ABSENT},
+            puts=[kv_store.Put(keys.agent(address), b"1")],
+        )
+        if written.is_ok():
+            return
+        await trio.sleep(ANNOUNCE_PAUSE_S)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pimentobridge/daemons/worker_api.py
@@ -0,0 +1,54 @@
+"""What a worker speaks to the agent beside it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from pimentobridge.daemons import http
+from pimentobridge.daemons import logs
+from pimentobridge.platform import heartbeats
+
+if TYPE_CHECKING:
+    from pimentobridge.daemons import worker_agent
+
+INSTANCES_PREFIX = "/v1/instances/"
+HEARTBEAT = "heartbeat"
+DEREGISTER = "deregister"
+
+
+class WorkerApi:
+    """ASGI application of an agent."""
+
+    def __init__(self, agent: worker_agent.WorkerAgent) -> None:
+        self._agent = agent
+
+    async def __call__(
+        self, scope: http.Scope, receive: Any, send: Any
+    ) -> None:
+        """Serves one request."""
+        if scope["type"] == "lifespan":
+            await http.accept_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        status = await self._serve(scope, receive)
+        await http.send_response(send, http.Response(status, b"{}"))
+
+    async def _serve(self, scope: http.Scope, receive: Any) -> int:
+        path: str = scope["path"]
+        if scope["method"] != "POST" or not path.startswith(INSTANCES_PREFIX):
+            return 404
+        worker, _, call = path[len(INSTANCES_PREFIX) :].partition("/")
+        body = await http.read_body(receive)
+        if call == HEARTBEAT:
+            beat = heartbeats.decode(worker, body)
+            if beat is None:
+                logs.event("heartbeat unreadable", worker=worker)
+                return 400
+            self._agent.on_heartbeat(beat)
+            return 200
+        if call == DEREGISTER:
+            logs.event("worker deregistered", worker=worker)
+            return 200
+        return 404
--- /dev/null
+++ b/pimentobridge/platform/heartbeats.py
@@ -0,0 +1,81 @@
+"""A worker's heartbeats as the platform sends them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from pimentobridge.core import types
+from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import runs
+
+KNOWN_STATES = ("ready", "draining")
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int
+    memMb: int  # noqa: N815  the wire's spelling
+    gpu: int = 0
+
+
+class _Heartbeat(msgspec.Struct):
+    """The wire's form; names are the platform's."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str]
+    sequence: int
+    born: int
+    clockMs: float = 0.0  # noqa: N815
+    remainingMs: float | None = None  # noqa: N815
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """A worker's report about itself.
+
+    Attributes:
+        address: where it takes calls.
+        sequence: rises with each heartbeat of a life.
+        clock_s: the worker's own clock as it was sent.
+    """
+
+    life: runs.WorkerLife
+    address: str
+    sequence: int
+    clock_s: float
+
+
+_decoder = msgspec.json.Decoder(_Heartbeat)
+
+
+def decode(worker: str, body: bytes) -> Heartbeat | None:
+    """Returns a heartbeat, or None for one that names no usable worker."""
+    try:
+        wire = _decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    if wire.state not in KNOWN_STATES:
+        return None
+    labels = tuple(wire.labels)
+    life = runs.WorkerLife(
+        key=runs.LifeKey(types.WorkerId(worker), wire.born),
+        service=wire.service,
+        data_centre=types.DataCentreName(wire.zone),
+        rack=types.RackName(_rack_of(labels)),
+        labels=labels,
+        capacity=model.Resources(
+            wire.capacity.cpu, wire.capacity.memMb, wire.capacity.gpu
+        ),
+        draining=wire.state == "draining",
+        leaves_in_s=(
+            None if wire.remainingMs is None else wire.remainingMs / 1000
+        ),
+    )
+    return Heartbeat(life, wire.address, wire.sequence, wire.clockMs / 1000)
+
+
+def _rack_of(labels: tuple[str, ...]) -> str:
+    # The labels are the worker's kind and then its rack.
+    return labels[-1] if labels else ""
--- /dev/null
+++ b/pimentobridge/platform/http_client.py
@@ -0,0 +1,120 @@
+"""HTTP calls to the platform, over connections that are kept open."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+
+KEEP_ALIVE_S = 20.0
+CONNECT_TIMEOUT_S = 0.7
+MAX_CONNECTIONS = 16
+
+
+class Failure(enum.Enum):
+    """Why a call has no response.
+
+    `NOT_SENT` means that the receiver can't have acted on it; after
+    `NO_ANSWER` it may have, or may do so later.
+    """
+
+    NOT_SENT = "not-sent"
+    NO_ANSWER = "no-answer"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A response with its decoded JSON body.
+
+    Attributes:
+        body: the decoded object; empty if there was none to read.
+    """
+
+    status: int
+    body: dict[str, Any]
+
+
+class HttpClient:
+    """Calls one address.
+
+    Args:
+        address: `IP:PORT`.
+        max_connections: most connections at once.
+    """
+
+    def __init__(
+        self, address: str, *, max_connections: int = MAX_CONNECTIONS
+    ) -> None:
+        self._base = f"http://{address}"
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections,
+            keepalive_expiry=KEEP_ALIVE_S,
+        )
+        self.calls = 0
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: object | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer | Failure:
+        """Makes a call.
+
+        Args:
+            method: HTTP method.
+            path: path and query.
+            timeout_s: seconds after which the connection is given up.
+            body: object to send as JSON; None for no body.
+            headers: further headers.
+
+        Returns:
+            The response, or why there is none.
+        """
+        self.calls += 1
+        content = b"" if body is None else msgspec.json.encode(body)
+        sent_headers = dict(headers or {})
+        if body is not None:
+            sent_headers["Content-Type"] = "application/json"
+        timeouts = {
+            "connect": min(CONNECT_TIMEOUT_S, timeout_s),
+            "pool": timeout_s,
+            "read": timeout_s,
+            "write": timeout_s,
+        }
+        try:
+            with trio.fail_after(timeout_s):
+                response = await self._pool.request(
+                    method,
+                    self._base + path,
+                    headers=list(sent_headers.items()),
+                    content=content,
+                    extensions={"timeout": timeouts},
+                )
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+        ):
+            return Failure.NOT_SENT
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            trio.TooSlowError,
+        ):
+            return Failure.NO_ANSWER
+        return Answer(response.status, _decoded(response.content))
+
+
+def _decoded(content: bytes) -> dict[str, Any]:
+    try:
+        body = msgspec.json.decode(content) if content else {}
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return {}
+    return body if isinstance(body, dict) else {}
--- /dev/null
+++ b/pimentobridge/platform/kv_store.py
@@ -0,0 +1,278 @@
+"""Client of the platform's store: items, watches, transactions, leases."""
+
+from __future__ import annotations
+
+import base64
+import enum
+from typing import Any
+import urllib.parse
+
+import msgspec
+import result
+
+from pimentobridge.platform import http_client
+
+# Most keys that one transaction may name, over conditions, writes, deletes.
+MAX_TRANSACTION_ENTRIES = 32
+READ_TIMEOUT_S = 1.2
+WRITE_TIMEOUT_S = 1.0
+# Time past a watch's own wait in which its answer must come.
+WATCH_SLACK_S = 0.9
+
+ABSENT = 0
+
+
+class StoreError(enum.Enum):
+    """Why a call gave no result.
+
+    `REFUSED`: surely nothing was done. `UNKNOWN`: it may have been carried
+    out, or may be later if its condition still holds.
+    """
+
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    HISTORY_LOST = "history-lost"
+    LEASE_ENDED = "lease-ended"
+
+
+class Item(msgspec.Struct, frozen=True):
+    """A key's state.
+
+    Attributes:
+        value: None if the key was deleted.
+        revision: the store's revision at the last change.
+        created: the store's revision at the creation.
+        lease: lease that the key ends with; 0 for none.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+    created: int = 0
+    lease: int = 0
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Items or changes, and the revision to go on from."""
+
+    items: list[Item]
+    store_revision: int
+    has_more: bool = False
+
+
+class Put(msgspec.Struct, frozen=True):
+    """A write within a transaction."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """A transaction whose condition didn't hold.
+
+    Attributes:
+        items_by_key: state of the condition's keys; absent ones are left out.
+    """
+
+    items_by_key: dict[str, Item]
+
+
+class KvStore:
+    """The platform's store at an address."""
+
+    def __init__(self, address: str) -> None:
+        self._client = http_client.HttpClient(address)
+
+    @property
+    def calls(self) -> int:
+        """How many calls were made."""
+        return self._client.calls
+
+    async def get(self, key: str) -> result.Result[Item | None, StoreError]:
+        """Returns the item at `key`, or None; linearizable."""
+        query = urllib.parse.urlencode({"key": key})
+        answer = await self._read(f"/v1/kv-key?{query}", READ_TIMEOUT_S)
+        if isinstance(answer, StoreError):
+            return result.Err(answer)
+        if answer.status == 404:
+            return result.Ok(None)
+        item = _item(answer.body)
+        return result.Err(StoreError.REFUSED) if not item else result.Ok(item)
+
+    async def page(
+        self, prefix: str, *, after: str = ""
+    ) -> result.Result[Page, StoreError]:
+        """Returns a page of the items under `prefix`, from past `after`."""
+        fields = {"prefix": prefix} | ({"after": after} if after else {})
+        query = urllib.parse.urlencode(fields)
+        answer = await self._read(f"/v1/kv-range?{query}", READ_TIMEOUT_S)
+        if isinstance(answer, StoreError):
+            return result.Err(answer)
+        return result.Ok(_page(answer.body, "items"))
+
+    async def watch(
+        self, prefix: str, *, after_revision: int, wait_s: float
+    ) -> result.Result[Page, StoreError]:
+        """Returns the changes after a revision, or none once `wait_s` passed.
+
+        `HISTORY_LOST` means that the items must be read anew.
+        """
+        query = urllib.parse.urlencode(
+            {
+                "prefix": prefix,
+                "after": after_revision,
+                "waitMs": int(wait_s * 1000),
+            }
+        )
+        answer = await self._read(
+            f"/v1/kv-watch?{query}", wait_s + WATCH_SLACK_S
+        )
+        if isinstance(answer, StoreError):
+            return result.Err(answer)
+        if answer.status == 410:
+            return result.Err(StoreError.HISTORY_LOST)
+        return result.Ok(_page(answer.body, "events"))
+
+    async def transact(
+        self,
+        *,
+        expected: dict[str, int],
+        puts: list[Put],
+        deletes: list[str] | None = None,
+        timeout_s: float = WRITE_TIMEOUT_S,
+    ) -> result.Result[int | Conflict, StoreError]:
+        """Writes all or nothing.
+
+        Args:
+            expected: revision that each key must have; `ABSENT` for no key.
+            puts: what to write.
+            deletes: keys to delete.
+            timeout_s: seconds after which the outcome counts as unknown.
+
+        Returns:
+            The store's revision after the write, or the conflict.
+        """
+        body = {
+            "expected": [
+                {"key": key, "revision": revision}
+                for key, revision in expected.items()
+            ],
+            "puts": [_wire_put(put) for put in puts],
+            "deletes": deletes or [],
+        }
+        answer = await self._client.call(
+            "POST", "/v1/kv-txn", timeout_s=timeout_s, body=body
+        )
+        if isinstance(answer, http_client.Failure):
+            return result.Err(_error_of(answer))
+        if answer.status == 200:
+            return result.Ok(int(answer.body.get("revision", 0)))
+        if answer.status == 412:
+            items = [_item(row) for row in answer.body.get("items", [])]
+            return result.Ok(
+                Conflict({item.key: item for item in items if item})
+            )
+        if answer.status == 404:
+            return result.Err(StoreError.LEASE_ENDED)
+        return result.Err(_error_of_status(answer.status))
+
+    async def grant_lease(
+        self, lifetime_s: float
+    ) -> result.Result[tuple[int, float], StoreError]:
+        """Returns a new lease and its lifetime in seconds."""
+        answer = await self._client.call(
+            "POST",
+            "/v1/kv-lease",
+            timeout_s=WRITE_TIMEOUT_S,
+            body={"ttlMs": int(lifetime_s * 1000)},
+        )
+        if isinstance(answer, http_client.Failure):
+            return result.Err(_error_of(answer))
+        if answer.status != 200:
+            return result.Err(_error_of_status(answer.status))
+        return result.Ok(
+            (int(answer.body["lease"]), float(answer.body["ttlMs"]) / 1000)
+        )
+
+    async def renew_lease(
+        self, lease: int, *, timeout_s: float
+    ) -> result.Result[None, StoreError]:
+        """Renews a lease from the arrival of the call."""
+        answer = await self._client.call(
+            "POST", f"/v1/kv-keep/{lease}", timeout_s=timeout_s, body={}
+        )
+        if isinstance(answer, http_client.Failure):
+            return result.Err(_error_of(answer))
+        if answer.status == 404:
+            return result.Err(StoreError.LEASE_ENDED)
+        if answer.status != 200:
+            return result.Err(_error_of_status(answer.status))
+        return result.Ok(None)
+
+    async def end_lease(self, lease: int) -> result.Result[None, StoreError]:
+        """Ends a lease; its keys go with it."""
+        answer = await self._client.call(
+            "DELETE", f"/v1/kv-lease-end/{lease}", timeout_s=WRITE_TIMEOUT_S
+        )
+        if isinstance(answer, http_client.Failure):
+            return result.Err(_error_of(answer))
+        return result.Ok(None)
+
+    async def _read(
+        self, path: str, timeout_s: float
+    ) -> http_client.Answer | StoreError:
+        answer = await self._client.call("GET", path, timeout_s=timeout_s)
+        if isinstance(answer, http_client.Failure):
+            return _error_of(answer)
+        if answer.status not in (200, 404, 410):
+            return _error_of_status(answer.status)
+        return answer
+
+
+def _error_of(failure: http_client.Failure) -> StoreError:
+    if failure is http_client.Failure.NOT_SENT:
+        return StoreError.REFUSED
+    return StoreError.UNKNOWN
+
+
+def _error_of_status(status: int) -> StoreError:
+    # 429 and 503 say that nothing was done; other refusals of the store, such
+    # as 400 and 403, are of calls that are never carried out either.
+    return (
+        StoreError.REFUSED
+        if status < 500 or status == 503
+        else (StoreError.UNKNOWN)
+    )
+
+
+def _wire_put(put: Put) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "key": put.key,
+        "value": base64.b64encode(put.value).decode(),
+    }
+    return row | ({"lease": put.lease} if put.lease else {})
+
+
+def _page(body: dict[str, Any], field: str) -> Page:
+    items = [_item(row) for row in body.get(field, [])]
+    return Page(
+        items=[item for item in items if item],
+        store_revision=int(body.get("storeRevision", 0)),
+        has_more=bool(body.get("hasMore", False)),
+    )
+
+
+def _item(row: Any) -> Item | None:
+    """Returns an item, or None for one that can't be read."""
+    try:
+        deleted = bool(row.get("deleted"))
+        return Item(
+            key=str(row["key"]),
+            value=None if deleted else base64.b64decode(row["value"]),
+            revision=int(row["revision"]),
+            created=int(row.get("created", 0)),
+            lease=int(row.get("lease", 0)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/pimentobridge/platform/operator_configuration.py
@@ -0,0 +1,101 @@
+"""The operator's configuration document in the platform's store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from pimentobridge.core import types
+from pimentobridge.core.jobs import configuration
+
+KEY = "op/config"
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    prefix: str
+    service: str
+    priority: int = 1
+    maxAttempts: int = 1  # noqa: N815  the wire's spelling
+    stretchFactor: float = 1.0  # noqa: N815
+    sloMs: float = 0.0  # noqa: N815
+    timeoutMs: float = 3000.0  # noqa: N815
+    allowAnonymous: bool = False  # noqa: N815
+
+
+class _Service(msgspec.Struct):
+    name: str
+    enforcesCapacity: bool = True  # noqa: N815
+    standby: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    apiKeys: list[str]  # noqa: N815
+    guaranteed: dict[str, Any] | None = None
+
+
+class _Limits(msgspec.Struct):
+    maxBodyBytes: int = 262_144  # noqa: N815
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_decoder = msgspec.json.Decoder(_Document, strict=False)
+
+
+def decode(value: bytes) -> configuration.JobConfiguration | None:
+    """Returns the configuration, or None for bytes that can't be read."""
+    try:
+        wire = _decoder.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    return configuration.JobConfiguration(
+        version=wire.version,
+        queues_by_name={route.name: _queue(route) for route in wire.routes},
+        services_by_name={
+            service.name: configuration.Service(
+                service.name, service.enforcesCapacity, service.standby
+            )
+            for service in wire.services
+        },
+        accounts_by_name={
+            types.AccountName(tenant.name): _account(tenant)
+            for tenant in wire.tenants
+        },
+        max_body_bytes=wire.limits.maxBodyBytes,
+    )
+
+
+def _queue(route: _Route) -> configuration.Queue:
+    return configuration.Queue(
+        name=route.name,
+        hostname=route.hostname,
+        prefix=route.prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=route.maxAttempts,
+        stretch=route.stretchFactor,
+        objective_s=route.sloMs / 1000,
+        timeout_s=route.timeoutMs / 1000,
+        anonymous=route.allowAnonymous,
+    )
+
+
+def _account(tenant: _Tenant) -> configuration.ClientAccount:
+    guaranteed = (tenant.guaranteed or {}).get("gpu", 0)
+    return configuration.ClientAccount(
+        name=types.AccountName(tenant.name),
+        keys=frozenset(tenant.apiKeys),
+        guaranteed_accelerators=(
+            guaranteed if isinstance(guaranteed, int) else 0
+        ),
+    )
--- /dev/null
+++ b/pimentobridge/platform/runner.py
@@ -0,0 +1,217 @@
+"""The runner of a worker: starts, stops, and its lease with its lists."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from pimentobridge.core.jobs import runs
+from pimentobridge.platform import http_client
+
+if TYPE_CHECKING:
+    from pimentobridge.core import types
+
+ORDER_TIMEOUT_S = 0.35
+# Time past a look's own wait in which its answer must come.
+LOOK_SLACK_S = 0.45
+
+
+class StartResult(enum.Enum):
+    """What became of an order to start a run."""
+
+    RUNNING = "running"
+    OUTDATED_TOKEN = "outdated-token"
+    RUN_IS_OVER = "run-is-over"
+    LEASE_TOO_SHORT = "lease-too-short"
+    NO_ROOM = "no-room"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+    OTHER_LIFE = "other-life"
+    UNKNOWN = "unknown"
+
+
+class StopResult(enum.Enum):
+    """What became of an order to stop a run."""
+
+    SEALED = "sealed"
+    OUTDATED_TOKEN = "outdated-token"
+    OTHER_LIFE = "other-life"
+    UNKNOWN = "unknown"
+
+
+class Look(msgspec.Struct, frozen=True):
+    """A runner's lists.
+
+    Attributes:
+        clock_s: the runner's own clock as it answered.
+        born_ms: start of the life that answered; 0 if it didn't say.
+    """
+
+    clock_s: float
+    born_ms: int
+    running: tuple[runs.RunningTask, ...]
+    ended: tuple[runs.EndedRun, ...]
+
+
+class LookFailure(enum.Enum):
+    """Why a look gave no lists."""
+
+    OUTDATED_TOKEN = "outdated-token"
+    OTHER_LIFE = "other-life"
+    UNKNOWN = "unknown"
+
+
+# Reasons that the wire gives with 409; `late` is about the deadline sent.
+_RESULT_BY_REASON = {
+    "fence": StartResult.OUTDATED_TOKEN,
+    "old": StartResult.RUN_IS_OVER,
+    "late": StartResult.LEASE_TOO_SHORT,
+    "room": StartResult.NO_ROOM,
+    "ticket": StartResult.INVALID,
+}
+
+
+class Runner:
+    """Calls the runner of this machine's worker."""
+
+    def __init__(self, address: str) -> None:
+        self._client = http_client.HttpClient(address)
+
+    async def start(
+        self,
+        worker: types.WorkerId,
+        order: runs.StartOrder,
+        *,
+        token: int,
+        lease_until_s: float,
+    ) -> StartResult:
+        """Orders a run to start.
+
+        Args:
+            worker: the life that is meant.
+            order: what to start.
+            token: fencing token.
+            lease_until_s: end of the worker's lease, on the runner's clock.
+        """
+        body: dict[str, Any] = {
+            "task": order.key.task,
+            "run": order.key.run,
+            "spec": order.spec,
+            "deadlineMs": int(lease_until_s * 1000),
+            "fencingToken": token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        answer = await self._call(worker, "/v1/run-start", body)
+        if isinstance(answer, http_client.Failure):
+            return StartResult.UNKNOWN
+        if answer.status == 200:
+            return StartResult.RUNNING
+        if answer.status == 409:
+            reason = str(answer.body.get("reason", ""))
+            return _RESULT_BY_REASON.get(reason, StartResult.INVALID)
+        if answer.status == 421:
+            return StartResult.OTHER_LIFE
+        if answer.status in (429, 503):
+            return StartResult.UNHEALTHY
+        if answer.status == 400:
+            return StartResult.INVALID
+        return StartResult.UNKNOWN
+
+    async def stop(
+        self, worker: types.WorkerId, run: runs.RunKey, *, token: int
+    ) -> StopResult:
+        """Orders a run to stop; one that isn't there will be refused."""
+        body = {"task": run.task, "run": run.run, "fencingToken": token}
+        answer = await self._call(worker, "/v1/run-stop", body)
+        if isinstance(answer, http_client.Failure):
+            return StopResult.UNKNOWN
+        if answer.status == 200:
+            return StopResult.SEALED
+        if answer.status == 421:
+            return StopResult.OTHER_LIFE
+        if answer.status == 409:
+            return StopResult.OUTDATED_TOKEN
+        return StopResult.UNKNOWN
+
+    async def look(
+        self,
+        worker: types.WorkerId,
+        *,
+        token: int,
+        seen: int,
+        lease_until_s: float | None,
+        wait_s: float = 0.0,
+    ) -> Look | LookFailure:
+        """Returns the runner's lists; renews its lease if one is given.
+
+        Args:
+            worker: the life that is meant.
+            token: fencing token.
+            seen: end number up to which the runner may forget.
+            lease_until_s: end of the lease, on the runner's clock.
+            wait_s: how long the runner may wait for an end.
+        """
+        body: dict[str, Any] = {"fencingToken": token, "lastSeen": seen}
+        if lease_until_s is not None:
+            body["deadlineMs"] = int(lease_until_s * 1000)
+        if wait_s:
+            body["waitMs"] = int(wait_s * 1000)
+        answer = await self._call(
+            worker, "/v1/hold", body, timeout_s=wait_s + LOOK_SLACK_S
+        )
+        if isinstance(answer, http_client.Failure):
+            return LookFailure.UNKNOWN
+        if answer.status == 421:
+            return LookFailure.OTHER_LIFE
+        if answer.status == 409:
+            return LookFailure.OUTDATED_TOKEN
+        if answer.status != 200:
+            return LookFailure.UNKNOWN
+        return _look(answer.body)
+
+    async def _call(
+        self,
+        worker: types.WorkerId,
+        path: str,
+        body: dict[str, Any],
+        *,
+        timeout_s: float = ORDER_TIMEOUT_S,
+    ) -> http_client.Answer | http_client.Failure:
+        return await self._client.call(
+            "POST",
+            path,
+            timeout_s=timeout_s,
+            body=body,
+            headers={"Expected-Instance": worker},
+        )
+
+
+def _look(body: dict[str, Any]) -> Look | LookFailure:
+    try:
+        return Look(
+            clock_s=float(body["clockMs"]) / 1000,
+            born_ms=int(body.get("born", 0)),
+            running=tuple(
+                runs.RunningTask(
+                    runs.RunKey(str(row[0]), int(row[1])),
+                    str(row[2]),
+                    int(row[3]),
+                )
+                for row in body["running"]
+            ),
+            ended=tuple(
+                runs.EndedRun(
+                    int(row[0]),
+                    runs.RunKey(str(row[1]), int(row[2])),
+                    runs.EndCause(row[3]),
+                    str(row[4]),
+                )
+                for row in body["finished"]
+            ),
+        )
+    except (IndexError, KeyError, TypeError, ValueError):
+        return LookFailure.UNKNOWN
--- /dev/null
+++ b/pimentobridge/protocol/control.py
@@ -0,0 +1,74 @@
+"""Messages between the scheduler, the agents and the entries.
+
+Messages about workers carry state, not changes: each holds all that the
+receiver needs, so that a lost one is made good by the next.
+"""
+
+from __future__ import annotations
+
+from pimentobridge.core import types
+from pimentobridge.core.jobs import runs
+from pimentobridge.protocol import messages
+
+
+class WorkerReport(messages.Message, frozen=True):
+    """What an agent knows of its worker.
+
+    Attributes:
+        agent: address to send orders to.
+        token: highest fencing token that the agent has obeyed.
+        sent_s: boot-time clock of the agent's machine, in seconds.
+        worker: None until the worker has announced itself.
+    """
+
+    agent: types.Address
+    token: int
+    sent_s: float
+    worker: runs.Observation | None = None
+
+
+class WorkerOrders(messages.Message, frozen=True):
+    """What the scheduler wants of an agent.
+
+    Attributes:
+        scheduler: address to report to.
+        token: the scheduler's fencing token.
+        echo_s: `sent_s` of the newest report; 0 for none. The agent acts on
+            the orders, and keeps the worker's lease, for a limited time from
+            then.
+        worker: None while the scheduler doesn't know the worker.
+        entries: entries to report to when the scheduler is silent.
+    """
+
+    scheduler: types.Address
+    token: int
+    echo_s: float
+    worker: runs.Instructions | None = None
+    entries: tuple[types.Address, ...] = ()
+
+
+class SubmitRelay(messages.Message, frozen=True):
+    """A write that another entry should make, because the store refuses us.
+
+    Attributes:
+        sequence: counts the sender's relays.
+        value: the stored form of the submission.
+    """
+
+    sequence: int
+    job: types.JobId
+    value: bytes
+
+
+class SubmitRelayed(messages.Message, frozen=True):
+    """Whether the record stands in the store now."""
+
+    sequence: int
+    stored: bool
+
+
+class ConfigurationCopy(messages.Message, frozen=True):
+    """The newest configuration document that an entry has."""
+
+    revision: int
+    value: bytes
