Lives known by machine; a store that is away is said at once

Change: a placement names its agent, so that a new life there ends the old one; the store client counts failed calls in a row, and entries answer or relay at once.

--- a/pimentobridge/core/jobs/progress.py
+++ b/pimentobridge/core/jobs/progress.py
@@ -51,11 +51,13 @@
 
     Attributes:
         born_ms: start of the worker's life, Unix milliseconds.
+        agent: address of the agent beside the worker.
         over: the run surely doesn't exist there and never will.
     """
 
     worker: types.WorkerId
     born_ms: int
+    agent: types.Address
     over: bool = False
 
 
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -117,7 +117,9 @@
                         tracked.id, number, step, unit.first + member
                     )
                     key = runs.LifeKey(place.worker, place.born_ms)
-                    self._worker(key).add(
+                    worker = self._worker(key)
+                    worker.agent = place.agent
+                    worker.add(
                         ledger.RunEntry(
                             tracked, name, unit, unit.run, member, 0
                         )
@@ -159,9 +161,7 @@
         earlier = self.life_by_agent.get(agent)
         if earlier is not None and earlier.born_ms > key.born_ms:
             return self._worker(earlier)
-        if earlier is not None and earlier != key:
-            self._bury(earlier, "replaced by a new life")
-        self._bury_earlier_lives(key)
+        self._bury_earlier_lives(agent, key)
         worker = self._worker(key)
         if worker.life is None or worker.life != seen.life:
             self._log(
@@ -188,9 +188,13 @@
         worker.advance_seen()
         return worker
 
-    def _bury_earlier_lives(self, key: runs.LifeKey) -> None:
-        for other in list(self.workers_by_life):
-            if other.worker == key.worker and other.born_ms < key.born_ms:
+    def _bury_earlier_lives(
+        self, agent: types.Address, key: runs.LifeKey
+    ) -> None:
+        """Ends the lives that a new one on the same machine has replaced."""
+        for other, worker in list(self.workers_by_life.items()):
+            same = other.worker == key.worker or worker.agent == agent
+            if same and other.born_ms < key.born_ms:
                 self._bury(other, "replaced by a new life")
 
     def _bury(self, key: runs.LifeKey, reason: str) -> None:
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -5,6 +5,7 @@
 import collections
 from typing import TYPE_CHECKING
 
+from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
@@ -19,7 +20,6 @@
     from collections.abc import Iterator
 
     from pimentobridge.core import clock as clock_lib
-    from pimentobridge.core import types
     from pimentobridge.core.scheduling import engine as engine_lib
 
 
@@ -115,7 +115,12 @@
         unit.run += 1
         unit.status = progress_lib.UnitStatus.ACTIVE
         unit.placements = [
-            progress_lib.Placement(key.worker, key.born_ms) for key in places
+            progress_lib.Placement(
+                key.worker,
+                key.born_ms,
+                engine.workers_by_life[key].agent or types.Address(""),
+            )
+            for key in places
         ]
         if tracked.progress.state is progress_lib.JobState.QUEUED:
             tracked.progress.state = progress_lib.JobState.RUNNING
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -15,6 +15,7 @@
 from pimentobridge.daemons import job_entry
 from pimentobridge.daemons import logs
 from pimentobridge.platform import submissions
+from pimentobridge.protocol import control
 
 if TYPE_CHECKING:
     from pimentobridge.core import clock as clock_lib
@@ -138,9 +139,9 @@
             account=account,
             outcome=written.value,
         )
-        if written is job_entry.Written.WRITTEN:
+        if written is control.Written.WRITTEN:
             return _answer(200, {})
-        if written is job_entry.Written.NOT_WRITTEN:
+        if written is control.Written.NOT_WRITTEN:
             return _refusal("the store doesn't take jobs at the moment")
         return _error(504, "the store didn't answer; repeat under the same id.")
 
@@ -150,7 +151,7 @@
         state = await self._entry.state_of(job_id, deadline_s)
         if isinstance(state, progress_lib.JobState):
             return _answer(200, {"state": state.value})
-        if state is job_entry.Written.ABSENT:
+        if state is control.Written.ABSENT:
             logs.event("job unknown", job=job_id)
             return _error(410, "there is no such job.")
         return _error(504, "the job's state isn't known now; ask again.")
@@ -160,10 +161,12 @@
     ) -> http.Response:
         written = await self._entry.cancel(job_id, deadline_s)
         logs.event("job cancelled", job=job_id, outcome=written.value)
-        if written is job_entry.Written.WRITTEN:
+        if written is control.Written.WRITTEN:
             return _answer(200, {})
-        if written is job_entry.Written.ABSENT:
+        if written is control.Written.ABSENT:
             return _error(410, "there is no such job.")
+        if written is control.Written.NOT_WRITTEN:
+            return _refusal("the store doesn't take cancels at the moment")
         return _error(504, "the store didn't answer; cancel again.")
 
     def _deadline_s(self, scope: http.Scope) -> float:
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -33,18 +32,6 @@
 CONFIGURATION_COPY_INTERVAL_S = 1.0
 
 
-class Written(enum.Enum):
-    """What became of a write that a caller waits for.
-
-    `NOT_WRITTEN` is sure: nothing of it will take effect later.
-    """
-
-    WRITTEN = "written"
-    NOT_WRITTEN = "not-written"
-    UNKNOWN = "unknown"
-    ABSENT = "absent"
-
-
 class JobEntry:
     """Holds no truth: every accepted job is in the store.
 
@@ -74,7 +61,7 @@
         self.scheduler: scheduling.Scheduler | None = None
         self.draining = False
         self._relays: dict[int, trio.Event] = {}
-        self._relayed: dict[int, bool] = {}
+        self._relayed: dict[int, control.Written] = {}
         self._relay_sequence = 0
         self._nursery: trio.Nursery | None = None
         self.mirror = store_mirror.StoreMirror(
@@ -131,70 +118,95 @@
 
     # Callers' requests.
 
-    async def submit(self, job: model.Job, deadline_s: float) -> Written:
+    async def submit(
+        self, job: model.Job, deadline_s: float
+    ) -> control.Written:
         """Stores a job unless its id is taken; that counts as written too.
 
         Args:
             job: what to store.
             deadline_s: monotonic time after which the caller is gone.
         """
-        key = keys.job(job.id)
-        value = progress_lib.encode_job(job)
+        return await self._write(
+            job.id, progress_lib.encode_job(job), deadline_s
+        )
+
+    async def cancel(
+        self, job_id: types.JobId, deadline_s: float
+    ) -> control.Written:
+        """Stores that a job is cancelled."""
+        return await self._write(job_id, None, deadline_s)
+
+    async def _write(
+        self, job_id: types.JobId, value: bytes | None, deadline_s: float
+    ) -> control.Written:
+        """Writes directly, or through another entry, until it is settled.
+
+        While neither reaches the store the caller is told so at once, and can
+        come back before its own time is up.
+        """
         maybe_written = False
         while self._clock.monotonic() < deadline_s:
-            if key in self.mirror.items_by_key:
-                return Written.WRITTEN
-            written = await self._store.transact(
-                expected={key: kv_store.ABSENT},
-                puts=[kv_store.Put(key, value)],
-            )
-            if isinstance(written, result.Ok):
-                if isinstance(written.ok_value, int):
-                    self.mirror.offer(
-                        kv_store.Item(key, value, written.ok_value)
-                    )
-                return Written.WRITTEN
-            if written.err_value is kv_store.StoreError.UNKNOWN:
-                maybe_written = True
-            relayed = await self._relay(job.id, value)
-            if relayed:
-                return Written.WRITTEN
-            if relayed is None:
-                maybe_written = True
+            for attempt in (self._write_directly, self._relay):
+                written = await attempt(job_id, value)
+                if written in (control.Written.WRITTEN, control.Written.ABSENT):
+                    return written
+                if written is control.Written.UNKNOWN:
+                    maybe_written = True
+            if self._store.away:
+                break
             await trio.sleep(WRITE_RETRY_PAUSE_S)
-        return Written.UNKNOWN if maybe_written else Written.NOT_WRITTEN
-
-    async def cancel(self, job_id: types.JobId, deadline_s: float) -> Written:
-        """Stores that a job is cancelled."""
+        if maybe_written:
+            return control.Written.UNKNOWN
+        return control.Written.NOT_WRITTEN
+
+    async def _write_directly(
+        self, job_id: types.JobId, value: bytes | None
+    ) -> control.Written:
+        if value is not None and keys.job(job_id) in self.mirror.items_by_key:
+            return control.Written.WRITTEN
+        if self._store.away:
+            return control.Written.NOT_WRITTEN
+        if value is None:
+            return await self._cancel_directly(job_id)
+        return await self._put_job(job_id, value, kv_store.ABSENT)
+
+    async def _put_job(
+        self, job_id: types.JobId, value: bytes, revision: int
+    ) -> control.Written:
+        """Writes a submission over a revision; a newer one counts as ours."""
         key = keys.job(job_id)
-        while self._clock.monotonic() < deadline_s:
-            found = await self._store.get(key)
-            if isinstance(found, result.Err):
-                await trio.sleep(WRITE_RETRY_PAUSE_S)
-                continue
-            item = found.ok_value
-            if item is None or item.value is None:
-                return Written.ABSENT
-            job = progress_lib.decode_job(item.value)
-            if job.cancelled:
-                return Written.WRITTEN
-            value = progress_lib.encode_job(
-                msgspec.structs.replace(job, cancelled=True)
-            )
-            written = await self._store.transact(
-                expected={key: item.revision},
-                puts=[kv_store.Put(key, value)],
-            )
-            if isinstance(written, result.Ok) and isinstance(
-                written.ok_value, int
-            ):
+        written = await self._store.transact(
+            expected={key: revision}, puts=[kv_store.Put(key, value)]
+        )
+        if isinstance(written, result.Ok):
+            if isinstance(written.ok_value, int):
                 self.mirror.offer(kv_store.Item(key, value, written.ok_value))
-                return Written.WRITTEN
-        return Written.UNKNOWN
+            return control.Written.WRITTEN
+        if written.err_value is kv_store.StoreError.REFUSED:
+            return control.Written.NOT_WRITTEN
+        return control.Written.UNKNOWN
+
+    async def _cancel_directly(self, job_id: types.JobId) -> control.Written:
+        found = await self._store.get(keys.job(job_id))
+        if isinstance(found, result.Err):
+            return control.Written.NOT_WRITTEN
+        item = found.ok_value
+        if item is None or item.value is None:
+            return control.Written.ABSENT
+        job = progress_lib.decode_job(item.value)
+        if job.cancelled:
+            return control.Written.WRITTEN
+        cancelled = msgspec.structs.replace(job, cancelled=True)
+        # The only change of a submission is its cancelling, so that a conflict
+        # means that somebody else has just cancelled it.
+        return await self._put_job(
+            job_id, progress_lib.encode_job(cancelled), item.revision
+        )
 
     async def state_of(
         self, job_id: types.JobId, deadline_s: float
-    ) -> progress_lib.JobState | Written:
+    ) -> progress_lib.JobState | control.Written:
         """Returns a job's state, `ABSENT`, or `UNKNOWN`.
 
         That a job doesn't exist is only said on the store's own word.
@@ -205,13 +217,13 @@
             if isinstance(found, result.Ok):
                 item = found.ok_value
                 if item is None:
-                    return Written.ABSENT
+                    return control.Written.ABSENT
                 break
             if self._clock.monotonic() > deadline_s:
-                return Written.UNKNOWN
+                return control.Written.UNKNOWN
             await trio.sleep(WRITE_RETRY_PAUSE_S)
         if item.value is None:
-            return Written.ABSENT
+            return control.Written.ABSENT
         job = progress_lib.decode_job(item.value)
         record = self.mirror.items_by_key.get(keys.progress(job_id))
         state = progress_lib.JobState.QUEUED
@@ -240,27 +252,29 @@
             count += progress.state is progress_lib.JobState.QUEUED
         return count
 
-    async def _relay(self, job_id: types.JobId, value: bytes) -> bool | None:
-        """Has another entry store a job; None if it may still do so."""
+    async def _relay(
+        self, job_id: types.JobId, value: bytes | None
+    ) -> control.Written:
+        """Has another entry make a write."""
         peers = [
             peer for peer in self.entries() if peer != self._endpoint.address
         ]
         if not peers:
-            return False
-        # The scheduler surely reaches the store, if anybody does.
+            return control.Written.NOT_WRITTEN
+        # The scheduler reaches the store, if anybody does.
         holder = self.leadership.holder
         peer = holder if holder in peers else peers[0]
         self._relay_sequence += 1
         sequence = self._relay_sequence
-        self._relays[sequence] = trio.Event()
+        answered = self._relays[sequence] = trio.Event()
         self._endpoint.send(
             types.Address(peer or peers[0]),
-            control.SubmitRelay(sequence, job_id, value),
+            control.WriteRelay(sequence, job_id, value),
         )
         with trio.move_on_after(RELAY_TIMEOUT_S):
-            await self._relays[sequence].wait()
-        self._relays.pop(sequence, None)
-        return self._relayed.pop(sequence, None)
+            await answered.wait()
+        del self._relays[sequence]
+        return self._relayed.pop(sequence, control.Written.UNKNOWN)
 
     # Messages.
 
@@ -270,12 +284,12 @@
             message = envelope.message
             if isinstance(message, control.WorkerReport):
                 self._on_report(message)
-            elif isinstance(message, control.SubmitRelay):
+            elif isinstance(message, control.WriteRelay):
                 self._spawn_relay(envelope.sender, message)
-            elif isinstance(message, control.SubmitRelayed):
+            elif isinstance(message, control.WriteRelayed):
                 waiting = self._relays.get(message.sequence)
                 if waiting is not None:
-                    self._relayed[message.sequence] = message.stored
+                    self._relayed[message.sequence] = message.written
                     waiting.set()
             elif isinstance(message, control.ConfigurationCopy):
                 self.configuration_mirror.offer(
@@ -302,31 +316,18 @@
             self._endpoint.send(holder, report)
 
     def _spawn_relay(
-        self, sender: types.Address, message: control.SubmitRelay
+        self, sender: types.Address, message: control.WriteRelay
     ) -> None:
         if self._nursery is not None:
-            self._nursery.start_soon(self._store_for, sender, message)
+            self._nursery.start_soon(self._write_for, sender, message)
 
-    async def _store_for(
-        self, sender: types.Address, message: control.SubmitRelay
+    async def _write_for(
+        self, sender: types.Address, message: control.WriteRelay
     ) -> None:
-        key = keys.job(message.job)
-        written = await self._store.transact(
-            expected={key: kv_store.ABSENT},
-            puts=[kv_store.Put(key, message.value)],
+        written = await self._write_directly(message.job, message.value)
+        self._endpoint.send(
+            sender, control.WriteRelayed(message.sequence, written)
         )
-        if isinstance(written, result.Ok):
-            if isinstance(written.ok_value, int):
-                self.mirror.offer(
-                    kv_store.Item(key, message.value, written.ok_value)
-                )
-            self._endpoint.send(
-                sender, control.SubmitRelayed(message.sequence, True)
-            )
-        elif written.err_value is kv_store.StoreError.REFUSED:
-            self._endpoint.send(
-                sender, control.SubmitRelayed(message.sequence, False)
-            )
 
     # The store's changes.
 
--- a/pimentobridge/platform/kv_store.py
+++ b/pimentobridge/platform/kv_store.py
@@ -78,17 +78,27 @@
     items_by_key: dict[str, Item]
 
 
+# Failed calls in a row after which the store counts as away.
+FAILURES_UNTIL_AWAY = 2
+
+
 class KvStore:
     """The platform's store at an address."""
 
     def __init__(self, address: str) -> None:
         self._client = http_client.HttpClient(address)
+        self._failures = 0
 
     @property
     def calls(self) -> int:
         """How many calls were made."""
         return self._client.calls
 
+    @property
+    def away(self) -> bool:
+        """Whether the newest calls have all failed."""
+        return self._failures >= FAILURES_UNTIL_AWAY
+
     async def get(self, key: str) -> result.Result[Item | None, StoreError]:
         """Returns the item at `key`, or None; linearizable."""
         query = urllib.parse.urlencode({"key": key})
@@ -161,7 +171,7 @@
             "puts": [_wire_put(put) for put in puts],
             "deletes": deletes or [],
         }
-        answer = await self._client.call(
+        answer = await self._call(
             "POST", "/v1/kv-txn", timeout_s=timeout_s, body=body
         )
         if isinstance(answer, http_client.Failure):
@@ -181,7 +191,7 @@
         self, lifetime_s: float
     ) -> result.Result[tuple[int, float], StoreError]:
         """Returns a new lease and its lifetime in seconds."""
-        answer = await self._client.call(
+        answer = await self._call(
             "POST",
             "/v1/kv-lease",
             timeout_s=WRITE_TIMEOUT_S,
@@ -199,7 +209,7 @@
         self, lease: int, *, timeout_s: float
     ) -> result.Result[None, StoreError]:
         """Renews a lease from the arrival of the call."""
-        answer = await self._client.call(
+        answer = await self._call(
             "POST", f"/v1/kv-keep/{lease}", timeout_s=timeout_s, body={}
         )
         if isinstance(answer, http_client.Failure):
@@ -212,17 +222,37 @@
 
     async def end_lease(self, lease: int) -> result.Result[None, StoreError]:
         """Ends a lease; its keys go with it."""
-        answer = await self._client.call(
+        answer = await self._call(
             "DELETE", f"/v1/kv-lease-end/{lease}", timeout_s=WRITE_TIMEOUT_S
         )
         if isinstance(answer, http_client.Failure):
             return result.Err(_error_of(answer))
         return result.Ok(None)
 
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: object | None = None,
+    ) -> http_client.Answer | http_client.Failure:
+        answer = await self._client.call(
+            method, path, timeout_s=timeout_s, body=body
+        )
+        turned_away = isinstance(answer, http_client.Answer) and (
+            answer.status == 429 or answer.status >= 500
+        )
+        if isinstance(answer, http_client.Failure) or turned_away:
+            self._failures += 1
+        else:
+            self._failures = 0
+        return answer
+
     async def _read(
         self, path: str, timeout_s: float
     ) -> http_client.Answer | StoreError:
-        answer = await self._client.call("GET", path, timeout_s=timeout_s)
+        answer = await self._call("GET", path, timeout_s=timeout_s)
         if isinstance(answer, http_client.Failure):
             return _error_of(answer)
         if answer.status not in (200, 404, 410):
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from pimentobridge.core import types
 from pimentobridge.core.jobs import runs
 from pimentobridge.protocol import messages
@@ -47,24 +49,37 @@
     entries: tuple[types.Address, ...] = ()
 
 
-class SubmitRelay(messages.Message, frozen=True):
+class Written(enum.Enum):
+    """What became of a write that a caller waits for.
+
+    `NOT_WRITTEN` is sure: nothing of it will take effect later. `ABSENT`: there
+    is no such job to cancel.
+    """
+
+    WRITTEN = "written"
+    NOT_WRITTEN = "not-written"
+    UNKNOWN = "unknown"
+    ABSENT = "absent"
+
+
+class WriteRelay(messages.Message, frozen=True):
     """A write that another entry should make, because the store refuses us.
 
     Attributes:
         sequence: counts the sender's relays.
-        value: the stored form of the submission.
+        value: the stored form of the submission; None to cancel the job.
     """
 
     sequence: int
     job: types.JobId
-    value: bytes
+    value: bytes | None
 
 
-class SubmitRelayed(messages.Message, frozen=True):
-    """Whether the record stands in the store now."""
+class WriteRelayed(messages.Message, frozen=True):
+    """What became of a relayed write."""
 
     sequence: int
-    stored: bool
+    written: Written
 
 
 class ConfigurationCopy(messages.Message, frozen=True):
