--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -28,6 +28,8 @@
 
 WRITE_RETRY_PAUSE_S = 0.05
 RELAY_TIMEOUT_S = 0.6
+# Jobs whose writes may still take effect; the oldest are forgotten first.
+MAX_UNSETTLED = 10_000
 ANNOUNCE_PAUSE_S = 1.0
 CONFIGURATION_COPY_INTERVAL_S = 1.0
 
@@ -63,6 +65,7 @@
         self._relays: dict[int, trio.Event] = {}
         self._relayed: dict[int, control.Written] = {}
         self._relay_sequence = 0
+        self._unsettled: dict[types.JobId, None] = {}
         self._nursery: trio.Nursery | None = None
         self.mirror = store_mirror.StoreMirror(
             store=store,
@@ -145,11 +148,13 @@
         While neither reaches the store the caller is told so at once, and can
         come back before its own time is up.
         """
-        maybe_written = False
+        # A write of an earlier attempt may still take effect: no "not written".
+        maybe_written = job_id in self._unsettled
         while self._clock.monotonic() < deadline_s:
             for attempt in (self._write_directly, self._relay):
                 written = await attempt(job_id, value)
                 if written in (control.Written.WRITTEN, control.Written.ABSENT):
+                    self._unsettled.pop(job_id, None)
                     return written
                 if written is control.Written.UNKNOWN:
                     maybe_written = True
@@ -157,9 +162,15 @@
                 break
             await trio.sleep(WRITE_RETRY_PAUSE_S)
         if maybe_written:
+            self._note_unsettled(job_id)
             return control.Written.UNKNOWN
         return control.Written.NOT_WRITTEN
 
+    def _note_unsettled(self, job_id: types.JobId) -> None:
+        self._unsettled[job_id] = None
+        if len(self._unsettled) > MAX_UNSETTLED:
+            self._unsettled.pop(next(iter(self._unsettled)))
+
     async def _write_directly(
         self, job_id: types.JobId, value: bytes | None
     ) -> control.Written:
--- a/pimentobridge/daemons/store_mirror.py
+++ b/pimentobridge/daemons/store_mirror.py
@@ -17,7 +17,7 @@
 
 # A watch that has gone silent shows within this and the client's slack.
 WATCH_WAIT_S = 1.5
-RETRY_PAUSE_S = 0.2
+RETRY_PAUSE_S = 0.1
 
 
 class StoreMirror:
@@ -118,7 +118,14 @@
             self._note_reachable(False, error.value)
             if error is kv_store.StoreError.HISTORY_LOST:
                 return
+            await self._wait_reachable()
+
+    async def _wait_reachable(self) -> None:
+        """Asks with short calls: a watch would hang in an outage's rest."""
+        while True:
             await trio.sleep(RETRY_PAUSE_S)
+            if (await self._store.get(self._prefix)).is_ok():
+                return
 
     def _advance(self, revision: int) -> None:
         self.heard_s = self._clock.monotonic()
--- a/pimentobridge/platform/kv_store.py
+++ b/pimentobridge/platform/kv_store.py
@@ -14,8 +14,8 @@
 
 # Most keys that one transaction may name, over conditions, writes, deletes.
 MAX_TRANSACTION_ENTRIES = 32
-READ_TIMEOUT_S = 1.2
-WRITE_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 0.8
+WRITE_TIMEOUT_S = 0.8
 # Time past a watch's own wait in which its answer must come.
 WATCH_SLACK_S = 0.9
 
