--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -60,6 +60,7 @@
         self.dirty_by_id: dict[types.JobId, ledger.TrackedJob] = {}
         self.configuration: configuration.JobConfiguration | None = None
         self.needs_pass = True
+        self._placeable: frozenset[runs.LifeKey] = frozenset()
 
     # Jobs.
 
@@ -359,6 +360,18 @@
                 if worker.agent is not None:
                     self.life_by_agent.pop(worker.agent, None)
 
+    def note_placeable(self) -> None:
+        """Asks for a pass when time alone has changed who takes tasks."""
+        now_s = self._clock.monotonic()
+        placeable = frozenset(
+            key
+            for key, worker in self.workers_by_life.items()
+            if worker.takes_tasks(now_s)
+        )
+        if placeable != self._placeable:
+            self._placeable = placeable
+            self.needs_pass = True
+
     def make_due(self, early_s: float) -> None:
         """Opens the occurrences whose time has come."""
         now_ms = self._clock.now().timestamp() * 1000
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -318,7 +318,7 @@
                 )
 
     def _on_report(self, report: control.WorkerReport) -> None:
-        if self.scheduler is not None and self.leadership.acting:
+        if self.scheduler is not None:
             self.scheduler.on_report(report)
             return
         # An agent that lost its scheduler asks every entry.
--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -15,6 +15,7 @@
 from pimentobridge.daemons import job_entry
 from pimentobridge.daemons import logs
 from pimentobridge.platform import boot_settings
+from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
 from pimentobridge.protocol import zmq_transport
 
@@ -36,7 +37,7 @@
         endpoint=zmq_transport.ZmqEndpoint(
             types.Address(f"tcp://{settings.ip}:{settings.internal_ports[0]}")
         ),
-        store=kv_store.KvStore(settings.store),
+        store=kv_store.KvStore(http_client.HttpClient(settings.store)),
         clock=clock,
         nonce=uuid.uuid4().hex,
     )
--- a/pimentobridge/daemons/leadership.py
+++ b/pimentobridge/daemons/leadership.py
@@ -20,6 +20,7 @@
 # are shorter leave the scheduler in place.
 LEASE_S = 2.0
 RENEWALS_PER_LEASE = 5
+RENEWAL_TIMEOUT_S = 0.6
 ELECTION_POLL_S = 0.1
 # Pause before a candidacy per second of round trip to the store, so that the
 # entry nearest to the store tends to win.
@@ -152,7 +153,7 @@
         await trio.sleep(LEASE_S / RENEWALS_PER_LEASE - ELECTION_POLL_S)
         sent_s = self._clock.monotonic()
         renewed = await self._store.renew_lease(
-            self._lease, timeout_s=LEASE_S / 2
+            self._lease, timeout_s=RENEWAL_TIMEOUT_S
         )
         if self.token is None:
             return
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -165,6 +165,7 @@
         engine = self.engine
         engine.declare_lost()
         engine.make_due(self._settings.early_s)
+        engine.note_placeable()
         if engine.needs_pass:
             self._planner.run()
         if engine.dirty_by_id:
--- a/pimentobridge/daemons/trio_clock.py
+++ b/pimentobridge/daemons/trio_clock.py
@@ -6,6 +6,9 @@
 
 import trio
 
+# Origin of days in virtual time, so that they repeat.
+FIXED_ORIGIN = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
 
 class TrioClock:
     """Follows trio's clock, so that tests run it in virtual time.
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -25,7 +25,7 @@
 LOOK_WAIT_S = 0.5
 LOOK_RETRY_PAUSE_S = 0.1
 ORDER_RETRY_PAUSE_S = 0.1
-# Silence after which the agent asks every entry for the scheduler.
+# An unanswered report's age at which the agent asks every entry.
 SCHEDULER_SILENCE_S = 1.2
 # Share of the longest lease asked for; the worker shortens what is longer.
 LEASE_SHARE = 1.0
@@ -62,7 +62,6 @@
         self._token = 0
         self._scheduler: types.Address | None = None
         self._echo_s = 0.0
-        self._heard_s = clock.monotonic()
         self._asked_s = 0.0
         self._instructions: runs.Instructions | None = None
         self._life: runs.WorkerLife | None = None
@@ -141,7 +140,6 @@
         if self._scheduler != orders.scheduler:
             self._scheduler = orders.scheduler
             self._wake_report.set()
-        self._heard_s = self._clock.monotonic()
         if orders.entries:
             self._entries = orders.entries
         if orders.echo_s < self._echo_s or orders.echo_s == 0.0:
@@ -384,14 +382,18 @@
             sent_s=now_s,
             worker=seen,
         )
-        if self._scheduler is not None:
+        # Orders that echo nothing new mean that the reports don't arrive.
+        unheard_s = now_s - max(self._echo_s, self._asked_s)
+        if self._scheduler is not None and unheard_s <= SCHEDULER_SILENCE_S:
             self._endpoint.send(self._scheduler, report)
-        silent_s = now_s - max(self._heard_s, self._asked_s)
-        if self._scheduler is None or silent_s > SCHEDULER_SILENCE_S:
-            self._asked_s = now_s
-            for entry in self._entries:
-                self._endpoint.reset(entry)
-                self._endpoint.send(entry, report)
+            return
+        self._asked_s = now_s
+        asked = set(self._entries)
+        if self._scheduler is not None:
+            asked.add(self._scheduler)
+        for entry in sorted(asked):
+            self._endpoint.reset(entry)
+            self._endpoint.send(entry, report)
 
     async def leave(self) -> None:
         """Renews the lease for as long as possible before this agent stops."""
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -15,6 +15,7 @@
 from pimentobridge.daemons import worker_agent
 from pimentobridge.daemons import worker_api
 from pimentobridge.platform import boot_settings
+from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import runner as runner_lib
 from pimentobridge.protocol import zmq_transport
@@ -35,17 +36,18 @@
     agent = worker_agent.WorkerAgent(
         settings=settings,
         endpoint=zmq_transport.ZmqEndpoint(address),
-        runner=runner_lib.Runner(settings.worker),
+        runner=runner_lib.Runner(http_client.HttpClient(settings.worker)),
         clock=boot_clock.BootClock(),
         entries=tuple(
             types.Address(f"tcp://{seed.rpartition(':')[0]}:{port}")
             for seed in settings.seeds
         ),
     )
+    store = kv_store.KvStore(http_client.HttpClient(settings.store))
     stopped = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(agent.run)
-        nursery.start_soon(_announce, kv_store.KvStore(settings.store), address)
+        nursery.start_soon(_announce, store, address)
         nursery.start_soon(
             http_server.serve,
             worker_api.WorkerApi(agent),
--- /dev/null
+++ b/pimentobridge/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system in one process and virtual time, under injected faults."""
--- /dev/null
+++ b/pimentobridge/lab/callers.py
@@ -0,0 +1,158 @@
+"""Callers of a day: they submit, repeat, ask and cancel."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+
+from pimentobridge.lab import checkers
+from pimentobridge.lab import world as world_lib
+
+if TYPE_CHECKING:
+    import random
+
+ATTEMPTS = 5
+CALL_TIMEOUT_S = 3.0
+REPEAT_PAUSE_S = 0.7
+ASK_INTERVAL_S = 2.0
+
+
+def draw_job(rng: random.Random, number: int) -> tuple[checkers.Submitted, int]:
+    """Returns a job and the priority of its queue."""
+    priority = rng.choice(world_lib.PRIORITIES)
+    gang = rng.random() < 0.35
+    count = rng.choice([1, 2, 3, 4, 6] if gang else [1, 1, 2, 4, 9])
+    accelerators = rng.choice([1, 1, 2, 4, 8])
+    seconds = round(rng.uniform(1.0, 6.0), 2)
+    checkpointing = rng.random() < 0.4
+    step: dict[str, object] = {
+        "count": count,
+        "cpu": 1000,
+        "memMb": 1000,
+        "gpu": accelerators,
+        "estimateMs": seconds * 1000 * rng.uniform(0.5, 1.5),
+    }
+    if gang:
+        step["gang"] = True
+    if checkpointing:
+        step["checkpointing"] = True
+    steps = [step]
+    if not gang and rng.random() < 0.2:
+        steps.append(dict(step) | {"after": [0], "count": 1})
+    failing = rng.choice([0, 0, 0, 0, 1, 9])
+    spec = {
+        "seconds": seconds,
+        "request": [1000, 1000, accelerators],
+        "gang": count if gang else 0,
+        "failing_runs": failing,
+        "checkpointing": checkpointing,
+    }
+    job = checkers.Submitted(
+        id=f"{number:04x}{rng.getrandbits(48):012x}",
+        spec=json.dumps(spec),
+        steps=steps,
+        max_attempts=world_lib.MAX_ATTEMPTS,
+    )
+    return job, priority
+
+
+class Caller:
+    """One caller with one job.
+
+    Args:
+        world: where the entries are.
+        job: what it wants done.
+        priority: priority of the queue that it uses.
+        cancels_after_s: time from acceptance to its cancel; None for never.
+        until_s: when it stops asking.
+    """
+
+    def __init__(
+        self,
+        world: world_lib.World,
+        job: checkers.Submitted,
+        *,
+        priority: int,
+        cancels_after_s: float | None,
+        until_s: float,
+    ) -> None:
+        self._world = world
+        self._job = job
+        self._path = f"/queue-{priority}/{job.id}"
+        self._account = world.rng.choice(world_lib.ACCOUNTS)
+        self._cancels_after_s = cancels_after_s
+        self._until_s = until_s
+
+    async def run(self) -> None:
+        """Hands the job in and follows it to its end."""
+        self._world.checker.jobs_by_id[self._job.id] = self._job
+        body = json.dumps(
+            {"spec": self._job.spec, "steps": self._job.steps}
+        ).encode()
+        for _ in range(ATTEMPTS):
+            status, _ = await self._call("POST", body)
+            self._job.statuses.append(status)
+            if status in (200, 400, 401, 404):
+                break
+            await trio.sleep(REPEAT_PAUSE_S)
+        if not self._job.accepted:
+            return
+        if self._cancels_after_s is not None:
+            await trio.sleep(self._cancels_after_s)
+            await self._cancel()
+        await self._ask()
+
+    async def _cancel(self) -> None:
+        self._job.cancel_sent = True
+        while trio.current_time() < self._until_s:
+            status, _ = await self._call("DELETE", b"")
+            if status == 200:
+                self._job.cancelled_s = trio.current_time()
+                return
+            await trio.sleep(REPEAT_PAUSE_S)
+
+    async def _ask(self) -> None:
+        while trio.current_time() < self._until_s:
+            status, answer = await self._call("GET", b"")
+            if status == 410:
+                self._world.checker.on_absent(self._job)
+            elif status == 200:
+                state = json.loads(answer)["state"]
+                self._world.checker.on_shown(self._job, state)
+                if state in ("completed", "failed", "cancelled"):
+                    return
+            await trio.sleep(ASK_INTERVAL_S)
+
+    async def _call(self, method: str, body: bytes) -> tuple[int, bytes]:
+        """Returns status and body; 0 for no answer."""
+        host = self._world.rng.choice(self._world.entries)
+        api = host.api
+        if api is None:
+            await trio.sleep(0.01)
+            return 0, b""
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": self._path,
+            "headers": [
+                (b"host", b"host.example"),
+                (b"authorization", f"Bearer key-of-{self._account}".encode()),
+                (b"timeout-ms", str(int(CALL_TIMEOUT_S * 1000)).encode()),
+            ],
+        }
+        sent: list[dict[str, Any]] = []
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(event: dict[str, Any]) -> None:
+            sent.append(event)
+
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            await api(scope, receive, send)
+        if len(sent) < 2 or host.api is not api:
+            return 0, b""
+        return int(sent[0]["status"]), bytes(sent[1]["body"])
--- /dev/null
+++ b/pimentobridge/lab/faults.py
@@ -0,0 +1,237 @@
+"""Faults of a day: drawn from a seed, injected at their times."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from pimentobridge.lab import wires
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    import random
+
+    from pimentobridge.lab import world as world_lib
+
+MAX_FAULTS = 5
+SHARE_CUT = 0.35
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault.
+
+    Attributes:
+        kind: name of the injector.
+        at_s: start, in seconds from the start of traffic.
+        for_s: how long it lasts.
+        targets: which machines, by number; what they are depends on the kind.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float
+    targets: tuple[int, ...] = ()
+
+
+def draw(
+    rng: random.Random, *, length_s: float, entries: int, workers: int
+) -> list[Fault]:
+    """Returns the faults of a day."""
+    faults = []
+    for _ in range(rng.randint(1, MAX_FAULTS)):
+        kind = rng.choice(sorted(_INJECTORS))
+        most = entries if "entr" in kind else workers
+        count = max(1, int(most * SHARE_CUT))
+        faults.append(
+            Fault(
+                kind=kind,
+                at_s=round(rng.uniform(0.5, length_s), 2),
+                for_s=round(rng.uniform(1.0, 9.0), 2),
+                targets=tuple(sorted(rng.sample(range(most), count))),
+            )
+        )
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+async def inject(world: world_lib.World, fault: Fault) -> None:
+    """Waits for a fault's time, and has it act and end."""
+    await trio.sleep(fault.at_s)
+    with trio.CancelScope() as marking:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_mark, world)
+            await _INJECTORS[fault.kind](world, fault)
+            marking.cancel()
+
+
+async def _mark(world: world_lib.World) -> None:
+    while True:
+        world.last_fault_s = trio.current_time()
+        await trio.sleep(0.1)
+
+
+def _store_away(
+    away: wires.Away, *, pauses_leases: bool
+) -> Callable[[world_lib.World, Fault], Awaitable[None]]:
+    async def act(world: world_lib.World, fault: Fault) -> None:
+        world.store_faults.away = away
+        world.store.paused_leases = pauses_leases
+        await trio.sleep(fault.for_s)
+        world.store_faults.away = None
+        world.store.paused_leases = False
+
+    return act
+
+
+def _store_turns_away(
+    away: wires.Away,
+) -> Callable[[world_lib.World, Fault], Awaitable[None]]:
+    async def act(world: world_lib.World, fault: Fault) -> None:
+        nodes = [world.entries[number].node for number in fault.targets]
+        for node in nodes:
+            world.store_faults.away_by_node[node] = away
+        await trio.sleep(fault.for_s)
+        for node in nodes:
+            world.store_faults.away_by_node.pop(node, None)
+
+    return act
+
+
+async def _store_slow(world: world_lib.World, fault: Fault) -> None:
+    world.store_faults.delay_factor = 60.0
+    await trio.sleep(fault.for_s)
+    world.store_faults.delay_factor = 1.0
+
+
+async def _store_loses_answers(world: world_lib.World, fault: Fault) -> None:
+    world.store_faults.lost = 0.35
+    await trio.sleep(fault.for_s)
+    world.store_faults.lost = 0.0
+
+
+async def _store_acts_late(world: world_lib.World, fault: Fault) -> None:
+    world.store_faults.late = 0.3
+    await trio.sleep(fault.for_s)
+    world.store_faults.late = 0.0
+
+
+async def _store_forgets(world: world_lib.World, fault: Fault) -> None:
+    del fault
+    world.store.forget_history()
+
+
+async def _orders_late(world: world_lib.World, fault: Fault) -> None:
+    world.runner_faults.late = 0.3
+    await trio.sleep(fault.for_s)
+    world.runner_faults.late = 0.0
+
+
+async def _kill_entries(world: world_lib.World, fault: Fault) -> None:
+    for number in fault.targets:
+        world.entries[number].kill()
+
+
+async def _terminate_entries(world: world_lib.World, fault: Fault) -> None:
+    for number in fault.targets:
+        await world.entries[number].terminate()
+        await trio.sleep(1.0)
+
+
+async def _kill_scheduler(world: world_lib.World, fault: Fault) -> None:
+    del fault
+    for host in world.entries:
+        if host.entry is not None and host.entry.leadership.acting:
+            host.kill()
+
+
+async def _kill_agents(world: world_lib.World, fault: Fault) -> None:
+    for number in fault.targets:
+        world.workers[number].kill()
+
+
+async def _kill_all(world: world_lib.World, fault: Fault) -> None:
+    del fault
+    for entry in world.entries:
+        entry.kill()
+    for worker in world.workers:
+        worker.kill()
+
+
+async def _power_off_workers(world: world_lib.World, fault: Fault) -> None:
+    for number in fault.targets:
+        world.workers[number].kill()
+        world.workers[number].crash_runner()
+
+
+async def _crash_runners(world: world_lib.World, fault: Fault) -> None:
+    for number in fault.targets:
+        world.workers[number].crash_runner()
+
+
+async def _cut_agents(world: world_lib.World, fault: Fault) -> None:
+    addresses = {world.workers[number].address for number in fault.targets}
+    world.network.faults.isolated |= addresses
+    await trio.sleep(fault.for_s)
+    world.network.faults.isolated -= addresses
+
+
+async def _cut_entries(world: world_lib.World, fault: Fault) -> None:
+    hosts = [world.entries[number] for number in fault.targets]
+    for host in hosts:
+        world.network.faults.isolated.add(host.address)
+        world.store_faults.away_by_node[host.node] = wires.Away.SILENT
+    await trio.sleep(fault.for_s)
+    for host in hosts:
+        world.network.faults.isolated.discard(host.address)
+        world.store_faults.away_by_node.pop(host.node, None)
+
+
+async def _silence_connections(world: world_lib.World, fault: Fault) -> None:
+    for number in fault.targets:
+        for host in world.entries:
+            agent = world.workers[number].address
+            world.network.silence(host.address, agent)
+            world.network.silence(agent, host.address)
+
+
+async def _runners_fail_all(world: world_lib.World, fault: Fault) -> None:
+    runners = [world.workers[number].runner for number in fault.targets]
+    for runner in runners:
+        runner.failing = True
+    await trio.sleep(fault.for_s)
+    for runner in runners:
+        runner.failing = False
+
+
+async def _change_configuration(world: world_lib.World, fault: Fault) -> None:
+    del fault
+    world.put_configuration(guaranteed=world.rng.randint(0, 16))
+
+
+_INJECTORS: dict[str, Callable[[world_lib.World, Fault], Awaitable[None]]] = {
+    "store silent": _store_away(wires.Away.SILENT, pauses_leases=False),
+    "store busy": _store_away(wires.Away.BUSY, pauses_leases=True),
+    "store resets": _store_away(wires.Away.RESET, pauses_leases=True),
+    "store refuses some entries": _store_turns_away(wires.Away.BUSY),
+    "store silent to some entries": _store_turns_away(wires.Away.SILENT),
+    "store slow": _store_slow,
+    "store loses answers": _store_loses_answers,
+    "store acts late": _store_acts_late,
+    "store forgets its history": _store_forgets,
+    "orders late": _orders_late,
+    "entries killed": _kill_entries,
+    "entries terminated": _terminate_entries,
+    "scheduler killed": _kill_scheduler,
+    "agents killed": _kill_agents,
+    "all killed": _kill_all,
+    "workers lose power": _power_off_workers,
+    "runners crash": _crash_runners,
+    "agents cut off": _cut_agents,
+    "entries cut off": _cut_entries,
+    "connections silent": _silence_connections,
+    "runners fail all": _runners_fail_all,
+    "configuration changes": _change_configuration,
+}
+KINDS = tuple(sorted(_INJECTORS))
--- /dev/null
+++ b/pimentobridge/lab/world.py
@@ -0,0 +1,326 @@
+"""A deployment in virtual time: entries, agents, runners and the store."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING
+
+import trio
+
+from pimentobridge.core import types
+from pimentobridge.core.jobs import model
+from pimentobridge.daemons import job_api
+from pimentobridge.daemons import job_entry
+from pimentobridge.daemons import keys
+from pimentobridge.daemons import trio_clock
+from pimentobridge.daemons import worker_agent
+from pimentobridge.lab import checkers
+from pimentobridge.lab import wires
+from pimentobridge.platform import boot_settings
+from pimentobridge.platform import heartbeats
+from pimentobridge.platform import http_client
+from pimentobridge.platform import kv_store
+from pimentobridge.platform import operator_configuration
+from pimentobridge.platform import runner as runner_lib
+from pimentobridge.testing import network as network_lib
+from pimentobridge.testing import platform_runner
+from pimentobridge.testing import platform_store
+
+if TYPE_CHECKING:
+    import random
+
+SERVICE = "plans"
+CAPACITY = model.Resources(32_000, 128_000, 8)
+MAX_LEASE_S = 6.0
+HEARTBEAT_S = 1.5
+STORE_CALL_S = 0.007
+RUNNER_CALL_S = 0.002
+KEY = "key-of-shop"
+ACCOUNTS = ("shop", "guides", "rental")
+PRIORITIES = (0, 1, 2)
+MAX_ATTEMPTS = 3
+START_UP_S = 0.6
+
+
+class EntryHost:
+    """A machine that runs an entry."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self._world = world
+        self.node = f"entry-{number}"
+        self.address = types.Address(f"tcp://{self.node}:7000")
+        self.entry: job_entry.JobEntry | None = None
+        self.api: job_api.CallerApi | None = None
+        self._scope: trio.CancelScope | None = None
+        self._lives = 0
+
+    async def run(self) -> None:
+        """Runs lives of the process until the day ends."""
+        while True:
+            with trio.CancelScope() as self._scope:
+                await self._live()
+            self.entry = self.api = None
+            self._world.network.remove(self.address)
+            await trio.sleep(START_UP_S)
+
+    async def _live(self) -> None:
+        world = self._world
+        self._lives += 1
+        clock = trio_clock.TrioClock(world.origin)
+        entry = job_entry.JobEntry(
+            settings=world.settings(self.node),
+            endpoint=world.network.endpoint(
+                self.address, network_lib.Place("north", self.node)
+            ),
+            store=kv_store.KvStore(world.store_client(self.node)),
+            clock=clock,
+            nonce=f"{self.node}-{self._lives}",
+        )
+        self.entry = entry
+        self.api = job_api.CallerApi(entry, clock=clock)
+        await entry.run()
+
+    def kill(self) -> None:
+        """Ends the process at once; it starts again."""
+        if self._scope is not None:
+            self._scope.cancel()
+
+    async def terminate(self) -> None:
+        """Has the process hand over before it ends."""
+        if self.entry is not None:
+            self.entry.draining = True
+            await self.entry.leadership.resign()
+            await trio.sleep(0.5)
+        self.kill()
+
+
+class WorkerHost:
+    """A machine that runs an agent beside a runner."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self._world = world
+        self._number = number
+        self.node = f"worker-{number}"
+        self.address = types.Address(f"tcp://{self.node}:7000")
+        self.runner = self._new_runner()
+        self.agent: worker_agent.WorkerAgent | None = None
+        self._scope: trio.CancelScope | None = None
+
+    def _new_runner(self) -> platform_runner.PlatformRunner:
+        world = self._world
+        world.lives += 1
+        return platform_runner.PlatformRunner(
+            world.pool,
+            f"i-{self._number}-{world.lives}",
+            CAPACITY,
+            born_ms=world.lives,
+            max_lease_s=MAX_LEASE_S,
+        )
+
+    async def run(self) -> None:
+        """Runs lives of the agent until the day ends."""
+        while True:
+            with trio.CancelScope() as self._scope:
+                await self._live()
+            self.agent = None
+            self._world.network.remove(self.address)
+            await trio.sleep(START_UP_S)
+
+    async def _live(self) -> None:
+        world = self._world
+        agent = worker_agent.WorkerAgent(
+            settings=world.settings(self.node),
+            endpoint=world.network.endpoint(
+                self.address, network_lib.Place("north", self.node)
+            ),
+            runner=runner_lib.Runner(world.runner_client(self)),
+            clock=trio_clock.TrioClock(world.origin),
+            entries=tuple(host.address for host in world.entries),
+        )
+        self.agent = agent
+        store = kv_store.KvStore(world.store_client(self.node))
+        await store.transact(
+            expected={}, puts=[kv_store.Put(keys.agent(self.address), b"1")]
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(agent.run)
+            nursery.start_soon(self._beat, agent)
+
+    async def _beat(self, agent: worker_agent.WorkerAgent) -> None:
+        sequence = 0
+        while True:
+            sequence += 1
+            runner = self.runner
+            body = json.dumps(
+                {
+                    "service": SERVICE,
+                    "address": self.node,
+                    "zone": "north-a",
+                    "state": "ready",
+                    "capacity": {
+                        "cpu": CAPACITY.cpu_millicores,
+                        "memMb": CAPACITY.memory_mib,
+                        "gpu": CAPACITY.accelerators,
+                    },
+                    "labels": ["a", f"rack-{self._number // 3}"],
+                    "sequence": sequence,
+                    "born": runner.born_ms,
+                    "clockMs": runner.clock_s * 1000,
+                }
+            )
+            beat = heartbeats.decode(runner.worker, body.encode())
+            if beat is not None:
+                agent.on_heartbeat(beat)
+            await trio.sleep(HEARTBEAT_S)
+
+    def kill(self) -> None:
+        """Ends the agent at once; it starts again."""
+        if self._scope is not None:
+            self._scope.cancel()
+
+    def crash_runner(self) -> None:
+        """Ends the worker's life; a new one begins on the machine."""
+        self.runner.crash()
+        self.runner = self._new_runner()
+
+
+class World:
+    """All machines of a day.
+
+    Args:
+        rng: draws delays and faults.
+        nursery: runs the machines.
+        entries: how many entries.
+        workers: how many workers.
+    """
+
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        nursery: trio.Nursery,
+        entries: int,
+        workers: int,
+    ) -> None:
+        self.rng = rng
+        self.nursery = nursery
+        self.last_fault_s = float("-inf")
+        self.store = platform_store.PlatformStore(trio.current_time)
+        self.store_faults = wires.CallFaults()
+        self.runner_faults = wires.CallFaults()
+        self.checker = checkers.Checker(
+            trio.current_time, lambda: self.last_fault_s
+        )
+        self.pool = platform_runner.RunnerPool(trio.current_time, self.checker)
+        self.lives = 0
+        self.origin = trio_clock.FIXED_ORIGIN
+        self.network = network_lib.Network(
+            rng=rng, local_s=0.001, link_s=0.03, link_bytes_per_s=2_000_000.0
+        )
+        self.entries = [EntryHost(self, number) for number in range(entries)]
+        self.workers = [WorkerHost(self, number) for number in range(workers)]
+        self.version = 0
+
+    def settings(self, node: str) -> boot_settings.ProcessSettings:
+        """Returns the settings of a machine's process."""
+        return boot_settings.ProcessSettings(
+            node=types.NodeId(node),
+            ip=node,
+            data_centre=types.DataCentreName("north-a"),
+            region=types.RegionName("north"),
+            internal_ports=(7000, 7015),
+            store="store",
+            max_lease_s=MAX_LEASE_S,
+        )
+
+    def store_client(self, node: str) -> wires.LabClient:
+        """Returns a machine's client of the store."""
+
+        async def handle(
+            method: str, path: str, body: object, headers: dict[str, str]
+        ) -> http_client.Answer:
+            del headers
+            return await self.store.handle(method, path, body)
+
+        return self._client(node, handle, self.store_faults, STORE_CALL_S)
+
+    def runner_client(self, host: WorkerHost) -> wires.LabClient:
+        """Returns a machine's client of its runner."""
+
+        async def handle(
+            method: str, path: str, body: object, headers: dict[str, str]
+        ) -> http_client.Answer:
+            del method
+            assert isinstance(body, dict)
+            # The encoding's own types, as they would arrive by HTTP.
+            decoded = json.loads(json.dumps(body))
+            expected = headers.get("Expected-Instance", "")
+            return await host.runner.handle(path, decoded, expected)
+
+        return self._client(
+            host.node, handle, self.runner_faults, RUNNER_CALL_S
+        )
+
+    def _client(
+        self,
+        node: str,
+        handler: wires.Handler,
+        faults: wires.CallFaults,
+        delay_s: float,
+    ) -> wires.LabClient:
+        return wires.LabClient(
+            node=node,
+            handler=handler,
+            faults=faults,
+            delay_s=delay_s,
+            rng=self.rng,
+            nursery=self.nursery,
+        )
+
+    def put_configuration(self, *, guaranteed: int = 8) -> None:
+        """Writes a newer configuration as the operator does."""
+        self.version += self.rng.randint(1, 3)
+        document = {
+            "version": self.version,
+            "routes": [
+                {
+                    "name": f"queue-{priority}",
+                    "hostname": "host.example",
+                    "prefix": f"/queue-{priority}/",
+                    "service": SERVICE,
+                    "priority": priority,
+                    "maxAttempts": MAX_ATTEMPTS,
+                    "stretchFactor": 2.0,
+                    "sloMs": 1000,
+                    "timeoutMs": 3000,
+                }
+                for priority in PRIORITIES
+            ],
+            "services": [{"name": SERVICE, "enforcesCapacity": True}],
+            "tenants": [
+                {
+                    "name": name,
+                    "apiKeys": [f"key-of-{name}"],
+                    "guaranteed": {"gpu": guaranteed},
+                }
+                for name in ACCOUNTS
+            ],
+        }
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        self.store.put(operator_configuration.KEY, value)
+
+    def start(self) -> None:
+        """Starts every machine."""
+        self.nursery.start_soon(self.network.run)
+        self.nursery.start_soon(self.pool.run)
+        self.nursery.start_soon(self._expire_leases)
+        for entry in self.entries:
+            self.nursery.start_soon(entry.run)
+        for worker in self.workers:
+            self.nursery.start_soon(worker.run)
+
+    async def _expire_leases(self) -> None:
+        while True:
+            self.store.expire_now()
+            await trio.sleep(0.05)
--- a/pimentobridge/platform/http_client.py
+++ b/pimentobridge/platform/http_client.py
@@ -4,6 +4,7 @@
 
 import enum
 from typing import Any
+from typing import Protocol
 
 import httpcore
 import msgspec
@@ -36,6 +37,21 @@
     body: dict[str, Any]
 
 
+class Client(Protocol):
+    """Calls one address."""
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: object | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer | Failure:
+        """Makes a call and returns the response, or why there is none."""
+
+
 class HttpClient:
     """Calls one address.
 
@@ -53,7 +69,6 @@
             max_keepalive_connections=max_connections,
             keepalive_expiry=KEEP_ALIVE_S,
         )
-        self.calls = 0
 
     async def call(
         self,
@@ -76,7 +91,6 @@
         Returns:
             The response, or why there is none.
         """
-        self.calls += 1
         content = b"" if body is None else msgspec.json.encode(body)
         sent_headers = dict(headers or {})
         if body is not None:
--- a/pimentobridge/platform/kv_store.py
+++ b/pimentobridge/platform/kv_store.py
@@ -83,16 +83,16 @@
 
 
 class KvStore:
-    """The platform's store at an address."""
+    """The platform's store.
 
-    def __init__(self, address: str) -> None:
-        self._client = http_client.HttpClient(address)
-        self._failures = 0
+    Args:
+        client: calls the store's address.
+    """
 
-    @property
-    def calls(self) -> int:
-        """How many calls were made."""
-        return self._client.calls
+    def __init__(self, client: http_client.Client) -> None:
+        self._client = client
+        self._failures = 0
+        self.calls = 0
 
     @property
     def away(self) -> bool:
@@ -237,6 +237,7 @@
         timeout_s: float,
         body: object | None = None,
     ) -> http_client.Answer | http_client.Failure:
+        self.calls += 1
         answer = await self._client.call(
             method, path, timeout_s=timeout_s, body=body
         )
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -75,10 +75,14 @@
 
 
 class Runner:
-    """Calls the runner of this machine's worker."""
+    """The runner of this machine's worker.
 
-    def __init__(self, address: str) -> None:
-        self._client = http_client.HttpClient(address)
+    Args:
+        client: calls the runner's address.
+    """
+
+    def __init__(self, client: http_client.Client) -> None:
+        self._client = client
 
     async def start(
         self,
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,114 @@
+"""Days of the whole system in virtual time, and the faults that they found."""
+
+from __future__ import annotations
+
+import pytest
+
+from pimentobridge.core.scheduling import engine
+from pimentobridge.daemons import recorder
+from pimentobridge.lab import day
+from pimentobridge.lab import faults
+from pimentobridge.testing import platform_runner
+
+SEEDS = range(1, 9)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_drawn_day_keeps_every_promise(seed: int) -> None:
+    verdict = day.play(seed)
+    assert verdict.findings == []
+    assert verdict.accepted >= verdict.submitted * 0.6
+
+
+def test_a_day_repeats_exactly() -> None:
+    assert day.play(3) == day.play(3)
+
+
+def test_a_calm_day_accepts_every_job() -> None:
+    verdict = day.play(1, [])
+    assert verdict.findings == []
+    assert verdict.accepted == verdict.submitted
+
+
+@pytest.mark.parametrize("kind", faults.KINDS)
+def test_one_fault_of_each_kind(kind: str) -> None:
+    fault = faults.Fault(kind=kind, at_s=9.0, for_s=7.0, targets=(0, 1))
+    assert day.play(11, [fault]).findings == []
+
+
+def test_an_agent_replaces_its_silent_connection() -> None:
+    # Orders still came, so that the agent took its own reports for delivered.
+    fault = faults.Fault("connections silent", 16.6, 6.7, (1, 5))
+    assert day.play(28, [fault]).findings == []
+
+
+def test_an_ejected_worker_comes_back_without_another_event() -> None:
+    # The end of an ejection is no event: nothing asked for a pass after it.
+    fault = faults.Fault("orders late", 20.38, 7.79, (0, 2))
+    assert day.play(20, [fault]).findings == []
+
+
+def _rules(findings: list[str]) -> set[str]:
+    return {finding.split(" ")[0] for finding in findings}
+
+
+def test_the_checkers_see_a_missing_wait_for_leases(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(engine, "LEASE_SLACK_S", -7.0)
+    fault = faults.Fault("agents cut off", 9.0, 5.0, (0, 1, 2))
+    assert "TWICE" in _rules(day.play(11, [fault]).findings)
+
+
+def test_the_checkers_see_ends_that_are_not_recorded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def forget_at_once(worker: object) -> None:
+        worker.seen = worker.processed  # type: ignore[attr-defined]
+
+    monkeypatch.setattr(
+        "pimentobridge.core.scheduling.fleet.TrackedWorker.advance_seen",
+        forget_at_once,
+    )
+    plan = [
+        faults.Fault("store resets", 8.0 + at, 1.5) for at in (0, 5, 10)
+    ] + [faults.Fault("scheduler killed", 9.4 + at, 0.0) for at in (0, 5, 10)]
+    found: set[str] = set()
+    for seed in range(1, 7):
+        found |= _rules(day.play(seed, plan).findings)
+    assert "TWICE" in found
+
+
+def test_the_checkers_see_a_missing_fence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def send_at_once(self: recorder.Recorder) -> None:
+        for tracked in self._engine.dirty_by_id.values():
+            tracked.recorded = tracked.changes
+
+    monkeypatch.setattr(recorder.Recorder, "wake", send_at_once)
+    plan = [faults.Fault("scheduler killed", 9.4 + at, 0.0) for at in (0, 6)]
+    found: set[str] = set()
+    for seed in range(1, 4):
+        found |= _rules(day.play(seed, plan).findings)
+    assert found & {"TWICE", "LOST", "BUDGET", "MIXED"}
+
+
+def test_a_gang_that_is_not_whole_is_seen(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    start = platform_runner.PlatformRunner._start
+    dropped: set[str] = set()
+
+    def drop_one(self: platform_runner.PlatformRunner, body: dict):  # type: ignore[no-untyped-def,type-arg]
+        task = str(body["task"])
+        if task.endswith(".1") and task not in dropped:
+            dropped.add(task)
+            return self._answer(503)
+        return start(self, body)
+
+    monkeypatch.setattr(platform_runner.PlatformRunner, "_start", drop_one)
+    monkeypatch.setattr(
+        "pimentobridge.core.scheduling.ledger.RunEntry.is_current", True
+    )
+    assert "GANG" in _rules(day.play(1, []).findings)
--- /dev/null
+++ b/tests/test_scheduling.py
@@ -0,0 +1,442 @@
+"""The scheduler's state against scripted agents, in virtual time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from pimentobridge.core import clock as clock_lib
+from pimentobridge.core import types
+from pimentobridge.core.jobs import configuration
+from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import engine as engine_lib
+from pimentobridge.core.scheduling import planner as planner_lib
+
+MAX_LEASE_S = 6.0
+SERVICE = "plans"
+GPU = model.Resources(1000, 1000, 1)
+WORKER = model.Resources(16_000, 16_000, 8)
+
+
+def queue(priority: int = 1, attempts: int = 2) -> configuration.Queue:
+    return configuration.Queue(
+        name=f"queue-{priority}",
+        hostname="host",
+        prefix="/",
+        service=SERVICE,
+        priority=priority,
+        max_attempts=attempts,
+        stretch=2.0,
+        objective_s=1.0,
+        timeout_s=3.0,
+    )
+
+
+def job(
+    name: str = "a" * 16,
+    *steps: model.Step,
+    priority: int = 1,
+    account: str = "shop",
+    **fields: Any,
+) -> model.Job:
+    return model.Job(
+        id=types.JobId(name),
+        queue=queue(priority),
+        account=types.AccountName(account),
+        spec="spec",
+        steps=steps or (model.Step(1, GPU, 5.0),),
+        submitted_ms=0,
+        **fields,
+    )
+
+
+class Bench:
+    """An engine with agents whose reports the test writes."""
+
+    def __init__(self, workers: int = 2) -> None:
+        self.clock = clock_lib.ManualClock(100.0)
+        self.revision = 0
+        self.engine = self.new_engine()
+        self.lives = [self.life(number) for number in range(workers)]
+        self.observe_all()
+
+    def new_engine(self) -> engine_lib.Engine:
+        self.lines: list[str] = []
+        engine = engine_lib.Engine(
+            clock=self.clock,
+            max_lease_s=MAX_LEASE_S,
+            log=lambda message, **_: self.lines.append(message),
+        )
+        engine.configuration = configuration.JobConfiguration(
+            version=1,
+            queues_by_name={},
+            services_by_name={},
+            accounts_by_name={
+                types.AccountName("shop"): configuration.ClientAccount(
+                    types.AccountName("shop"), frozenset(), 8
+                )
+            },
+            max_body_bytes=1000,
+        )
+        return engine
+
+    def life(self, number: int, born_ms: int = 1) -> runs.WorkerLife:
+        return runs.WorkerLife(
+            key=runs.LifeKey(types.WorkerId(f"w{number}"), born_ms),
+            service=SERVICE,
+            data_centre=types.DataCentreName("dc"),
+            rack=types.RackName(f"rack-{number // 2}"),
+            labels=("a", f"rack-{number // 2}"),
+            capacity=WORKER,
+        )
+
+    def observe(self, number: int, **lists: Any) -> runs.Instructions:
+        worker = self.engine.observe(
+            types.Address(f"agent-{number}"),
+            runs.Observation(self.lives[number], **lists),
+        )
+        return self.engine.instructions(worker)
+
+    def observe_all(self) -> list[runs.Instructions]:
+        return [self.observe(number) for number in range(len(self.lives))]
+
+    def plan(self) -> None:
+        self.engine.declare_lost()
+        self.engine.make_due(0.25)
+        planner_lib.Planner(
+            self.engine, clock=self.clock, log=lambda *_, **__: None
+        ).run()
+
+    def record(self) -> None:
+        for tracked in list(self.engine.dirty_by_id.values()):
+            self.revision += 1
+            self.engine.on_recorded(tracked.id, tracked.changes, self.revision)
+
+    def submit(self, *jobs: model.Job) -> list[runs.Instructions]:
+        for item in jobs:
+            self.engine.put_job(item)
+        self.plan()
+        self.record()
+        return self.observe_all()
+
+
+def started(
+    orders: list[runs.Instructions],
+) -> list[tuple[int, runs.RunKey]]:
+    return [
+        (number, start.key)
+        for number, order in enumerate(orders)
+        for start in order.starts
+    ]
+
+
+def running(*keys: runs.RunKey) -> tuple[runs.RunningTask, ...]:
+    return tuple(runs.RunningTask(key, "", 10) for key in keys)
+
+
+def ended(
+    key: runs.RunKey, cause: runs.EndCause, number: int = 1
+) -> tuple[runs.EndedRun, ...]:
+    return (runs.EndedRun(number, key, cause, ""),)
+
+
+def test_a_start_leaves_only_after_its_record() -> None:
+    bench = Bench()
+    bench.engine.put_job(job())
+    bench.plan()
+    assert started(bench.observe_all()) == []
+    bench.record()
+    assert len(started(bench.observe_all())) == 1
+
+
+def test_an_end_is_recorded_before_the_worker_may_forget_it() -> None:
+    bench = Bench()
+    ((number, key),) = started(bench.submit(job()))
+    order = bench.observe(number, ended=ended(key, runs.EndCause.DONE))
+    assert order.seen == 0
+    bench.record()
+    order = bench.observe(number, ended=ended(key, runs.EndCause.DONE))
+    assert order.seen == 1
+    tracked = bench.engine.jobs_by_id[types.JobId("a" * 16)]
+    assert tracked.state is progress_lib.JobState.COMPLETED
+
+
+def test_a_silent_worker_keeps_its_runs_until_its_lease_is_over() -> None:
+    bench = Bench(1)
+    ((_, key),) = started(bench.submit(job()))
+    bench.lives.append(bench.life(1))
+    bench.observe(1)
+    silent_s = 0.0
+    while silent_s < engine_lib.ORDER_VALIDITY_S + MAX_LEASE_S * 1.02:
+        bench.plan()
+        bench.record()
+        assert started([bench.observe(1)]) == []
+        bench.clock.advance(0.5)
+        silent_s += 0.5
+    bench.clock.advance(1.0)
+    bench.plan()
+    bench.record()
+    ((_, again),) = started([bench.observe(1)])
+    assert again == runs.RunKey(key.task, key.run + 1)
+
+
+def test_a_new_life_on_the_machine_frees_its_runs_at_once() -> None:
+    bench = Bench(1)
+    started(bench.submit(job()))
+    bench.lives[0] = msgspec.structs.replace(
+        bench.life(0), key=runs.LifeKey(types.WorkerId("other"), 2)
+    )
+    bench.observe(0)
+    bench.plan()
+    bench.record()
+    ((_, again),) = started(bench.observe_all())
+    assert again.run == 2
+
+
+def test_a_successor_knows_by_machine_that_a_life_was_replaced() -> None:
+    bench = Bench(1)
+    bench.submit(job())
+    record = bench.engine.jobs_by_id[types.JobId("a" * 16)].progress
+    bench.engine = bench.new_engine()
+    bench.engine.put_job(job(), record, revision=5)
+    bench.lives[0] = msgspec.structs.replace(
+        bench.life(0), key=runs.LifeKey(types.WorkerId("other"), 2)
+    )
+    bench.observe(0)
+    bench.plan()
+    bench.record()
+    ((_, again),) = started(bench.observe_all())
+    assert again.run == 2
+
+
+def test_a_successor_adopts_what_runs() -> None:
+    bench = Bench()
+    ((number, key),) = started(bench.submit(job()))
+    record = bench.engine.jobs_by_id[types.JobId("a" * 16)].progress
+    bench.engine = bench.new_engine()
+    bench.engine.put_job(job(), record, revision=5)
+    bench.observe(number, running=running(key))
+    bench.plan()
+    bench.record()
+    assert started([bench.observe(number, running=running(key))]) == []
+    assert bench.observe(number, running=running(key)).stops == ()
+
+
+def test_a_successor_repeats_a_start_that_was_recorded_but_not_sent() -> None:
+    bench = Bench()
+    ((number, key),) = started(bench.submit(job()))
+    record = bench.engine.jobs_by_id[types.JobId("a" * 16)].progress
+    bench.engine = bench.new_engine()
+    bench.engine.put_job(job(), record, revision=5)
+    bench.plan()
+    bench.record()
+    assert started([bench.observe(number)]) == [(0, key)]
+
+
+def test_a_gang_starts_whole_or_not_at_all() -> None:
+    bench = Bench(2)
+    wide = job("b" * 16, model.Step(17, GPU, 5.0, gang=True))
+    assert started(bench.submit(wide)) == []
+    fitting = job("c" * 16, model.Step(16, GPU, 5.0, gang=True))
+    orders = started(bench.submit(fitting))
+    assert len(orders) == 16
+    assert {key.run for _, key in orders} == {1}
+
+
+def test_a_gang_waits_until_no_member_can_be_at_work() -> None:
+    bench = Bench(2)
+    gang = job("b" * 16, model.Step(16, GPU, 5.0, gang=True))
+    keys = [key for _, key in started(bench.submit(gang))]
+    first, rest = keys[0], keys[1:8]
+    bench.observe(
+        0,
+        running=running(*rest),
+        ended=ended(first, runs.EndCause.FAILED),
+    )
+    bench.plan()
+    bench.record()
+    orders = bench.observe(
+        0, running=running(*rest), ended=ended(first, runs.EndCause.FAILED)
+    )
+    assert orders.starts == ()
+    assert set(orders.stops) == set(rest)
+
+
+def test_a_gang_of_one_rack_waits_for_a_rack() -> None:
+    bench = Bench(4)
+    one = job("e" * 16, model.Step(1, WORKER, 1.0))
+    narrow = job(
+        "d" * 16, model.Step(2, WORKER, 5.0, gang=True, same_rack=True)
+    )
+    wide = job("f" * 16, model.Step(2, WORKER, 9.0, gang=True, same_rack=True))
+    ((taken, _),) = started(bench.submit(one))
+    orders = started(bench.submit(narrow, wide))
+    placed = {number for number, key in orders if key.task[0] == "d"}
+    racks = {bench.lives[number].rack for number in placed}
+    assert len(placed) == 2
+    assert racks.isdisjoint({bench.lives[taken].rack})
+    assert not [key for _, key in orders if key.task[0] == "f"]
+
+
+def test_a_job_fails_after_its_attempts() -> None:
+    bench = Bench()
+    orders = started(bench.submit(job()))
+    for attempt in (1, 2):
+        ((number, key),) = orders
+        assert key.run == attempt
+        bench.observe(number, ended=ended(key, runs.EndCause.FAILED, attempt))
+        bench.plan()
+        bench.record()
+        orders = started(bench.observe_all())
+    assert orders == []
+    tracked = bench.engine.jobs_by_id[types.JobId("a" * 16)]
+    assert tracked.state is progress_lib.JobState.FAILED
+
+
+def test_a_lapse_is_no_attempt() -> None:
+    bench = Bench(1)
+    orders = started(bench.submit(job()))
+    for attempt in (1, 2, 3):
+        ((number, key),) = orders
+        bench.observe(number, ended=ended(key, runs.EndCause.LAPSED, attempt))
+        bench.plan()
+        bench.record()
+        orders = started(bench.observe_all())
+    assert orders[0][1].run == 4
+
+
+def test_a_refused_run_gets_a_higher_number() -> None:
+    bench = Bench(1)
+    ((_, key),) = started(bench.submit(job()))
+    bench.observe(0, refused=(key,))
+    bench.plan()
+    bench.record()
+    ((_, again),) = started(bench.observe_all())
+    assert again.run == key.run + 1
+
+
+def test_an_end_goes_before_a_refusal_of_the_same_run() -> None:
+    bench = Bench(1)
+    ((_, key),) = started(bench.submit(job()))
+    bench.observe(0, ended=ended(key, runs.EndCause.DONE), refused=(key,))
+    tracked = bench.engine.jobs_by_id[types.JobId("a" * 16)]
+    assert tracked.state is progress_lib.JobState.COMPLETED
+
+
+def test_a_cancelled_job_is_stopped_and_starts_nothing() -> None:
+    bench = Bench(1)
+    two = job("a" * 16, model.Step(9, GPU, 5.0))
+    keys = [key for _, key in started(bench.submit(two))]
+    assert len(keys) == 8
+    bench.engine.put_job(msgspec.structs.replace(two, cancelled=True))
+    bench.plan()
+    bench.record()
+    order = bench.observe(0, running=running(*keys))
+    assert set(order.stops) == set(keys)
+    assert order.starts == ()
+
+
+def test_later_steps_wait_for_earlier_ones() -> None:
+    bench = Bench(1)
+    chain = job(
+        "a" * 16,
+        model.Step(2, GPU, 5.0),
+        model.Step(1, GPU, 5.0, after=(0,)),
+    )
+    keys = [key for _, key in started(bench.submit(chain))]
+    assert [key.task.split(".")[2] for key in keys] == ["0", "0"]
+    bench.observe(0, ended=ended(keys[0], runs.EndCause.DONE))
+    bench.plan()
+    assert all(".1." not in start.key.task for start in bench.observe(0).starts)
+
+
+def test_at_most_so_many_tasks_of_a_step_go_to_a_worker() -> None:
+    bench = Bench(2)
+    spread = job("a" * 16, model.Step(6, GPU, 5.0, max_per_worker=2))
+    orders = started(bench.submit(spread))
+    assert len(orders) == 4
+
+
+def test_a_label_binds_tasks_to_workers_that_have_it() -> None:
+    bench = Bench(4)
+    bound = job("a" * 16, model.Step(3, GPU, 5.0, required_label="rack-1"))
+    orders = started(bench.submit(bound))
+    assert {bench.lives[number].rack for number, _ in orders} == {"rack-1"}
+
+
+def test_a_draining_worker_gets_nothing() -> None:
+    bench = Bench(2)
+    bench.lives[0] = msgspec.structs.replace(bench.lives[0], draining=True)
+    bench.observe(0)
+    orders = started(bench.submit(job("a" * 16, model.Step(9, GPU, 5.0))))
+    assert {number for number, _ in orders} == {1}
+
+
+def test_a_guaranteed_job_displaces_others() -> None:
+    bench = Bench(1)
+    batch = job("b" * 16, model.Step(8, GPU, 30.0))
+    keys = [key for _, key in started(bench.submit(batch))]
+    bench.observe(0, running=running(*keys))
+    bench.engine.put_job(job("c" * 16, model.Step(1, WORKER, 1.0), priority=0))
+    bench.plan()
+    bench.record()
+    assert set(bench.observe(0, running=running(*keys)).stops) == set(keys)
+    ends = tuple(
+        runs.EndedRun(number + 1, key, runs.EndCause.STOPPED, "")
+        for number, key in enumerate(keys)
+    )
+    bench.observe(0, ended=ends)
+    bench.plan()
+    bench.record()
+    order = bench.observe(0, ended=ends)
+    assert [start.key.task[:16] for start in order.starts] == ["c" * 16]
+
+
+@pytest.mark.parametrize("account", ["shop", "stranger"])
+def test_only_the_guarantee_displaces(account: str) -> None:
+    bench = Bench(1)
+    batch = job("b" * 16, model.Step(8, GPU, 30.0))
+    keys = [key for _, key in started(bench.submit(batch))]
+    bench.observe(0, running=running(*keys))
+    bench.engine.put_job(
+        job("c" * 16, model.Step(2, WORKER, 1.0), priority=0, account=account)
+    )
+    bench.plan()
+    bench.record()
+    assert bench.observe(0, running=running(*keys)).stops == ()
+
+
+def test_a_worker_that_fails_several_jobs_is_left_out() -> None:
+    bench = Bench(1)
+    first = job("a" * 16)
+    second = job("b" * 16)
+    keys = [key for _, key in started(bench.submit(first, second))]
+    bench.observe(
+        0,
+        ended=tuple(
+            runs.EndedRun(number + 1, key, runs.EndCause.FAILED, "")
+            for number, key in enumerate(keys)
+        ),
+    )
+    bench.plan()
+    bench.record()
+    assert bench.observe(0).starts == ()
+    assert "worker ejected" in bench.lines
+
+
+def test_an_occurrence_waits_for_its_time() -> None:
+    bench = Bench(1)
+    timed = job(
+        "a" * 16, occurrences=2, first_due_ms=105_000, interval_ms=10_000
+    )
+    assert started(bench.submit(timed)) == []
+    bench.clock.advance(5.0)
+    bench.observe_all()
+    bench.plan()
+    bench.record()
+    ((_, key),) = started(bench.observe_all())
+    assert key.task == "a" * 16 + ".0.0.0"
