--- a/pimentobridge/cli/main.py
+++ b/pimentobridge/cli/main.py
@@ -15,6 +15,7 @@
 
 from pimentobridge.cli import bench
 from pimentobridge.cli import changes
+from pimentobridge.cli import explain
 from pimentobridge.cli import lab
 from pimentobridge.cli import operate
 from pimentobridge.core import errors
@@ -55,6 +56,7 @@
     changes.add_commands(commands)
     operate.add_commands(commands)
     bench.add_commands(commands)
+    explain.add_commands(commands)
     lab.add_commands(commands)
     return parser
 
