A restarted entry takes over its own earlier term at once

Cause: after a kill of all processes the store kept the dead scheduler's key for up to 2 s. Change: an entry that finds its own address in the key writes over it with a new lease; the fencing token is the revision of that write. Ruled out: that the old holder still lives; it listened at the same address.

--- a/pimentobridge/daemons/leadership.py
+++ b/pimentobridge/daemons/leadership.py
@@ -63,6 +63,7 @@
         self._store = store
         self._mirror = mirror
         self._key = key
+        self._address = address
         self._value = msgspec.json.encode(Holder(address, nonce))
         self._clock = clock
         self._lease = 0
@@ -85,7 +86,7 @@
         item = self._mirror.items_by_key.get(self._key)
         if item is None or item.value is None:
             return None
-        return msgspec.json.decode(item.value, type=Holder).address
+        return _holder_in(item.value).address
 
     async def run(self) -> None:
         """Competes until cancelled."""
@@ -105,23 +106,35 @@
             await self._store.end_lease(lease)
 
     async def _compete(self) -> None:
-        if not self._mirror.loaded or self.holder is not None:
+        if not self._mirror.loaded or self.holder not in (None, self._address):
             return
         asked_s = self._clock.monotonic()
         found = await self._store.get(self._key)
-        if isinstance(found, result.Err) or found.ok_value is not None:
-            return
-        round_trip_s = self._clock.monotonic() - asked_s
-        await trio.sleep(round_trip_s * PAUSE_PER_ROUND_TRIP)
-        if self.holder is not None:
+        if isinstance(found, result.Err):
             return
+        item = found.ok_value
+        if item is None:
+            round_trip_s = self._clock.monotonic() - asked_s
+            await trio.sleep(round_trip_s * PAUSE_PER_ROUND_TRIP)
+            if self.holder is not None:
+                return
+            await self._take(kv_store.ABSENT)
+        elif item.value is not None and (
+            _holder_in(item.value).address == self._address
+        ):
+            # This process listens at the holder's address, so the holder was
+            # an earlier life of it.
+            await self._take(item.revision)
+
+    async def _take(self, revision: int) -> None:
+        """Writes the key over a revision and begins a term."""
         sent_s = self._clock.monotonic()
         granted = await self._store.grant_lease(LEASE_S)
         if isinstance(granted, result.Err):
             return
         lease, lifetime_s = granted.ok_value
         written = await self._store.transact(
-            expected={self._key: kv_store.ABSENT},
+            expected={self._key: revision},
             puts=[kv_store.Put(self._key, self._value, lease)],
         )
         token = await self._token_of(written)
@@ -146,7 +159,7 @@
         if isinstance(found, result.Ok):
             item = found.ok_value
             if item is not None and item.value == self._value:
-                return item.created
+                return item.revision
         return None
 
     async def _keep(self) -> None:
@@ -176,3 +189,7 @@
     def _notify(self) -> None:
         changed, self.changed = self.changed, trio.Event()
         changed.set()
+
+
+def _holder_in(value: bytes) -> Holder:
+    return msgspec.json.decode(value, type=Holder)
