Urgent jobs wait a second before they cost much work; refused starts pause

Change: the loss is the time since the start; an urgent job displaces at once what loses at most 50 core-seconds, and after a second what loses 400, or anything for a guarantee. Also a worker that refused a start gets none for a second: a refusal that repeats was asked for again at every pass.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -185,6 +185,8 @@
                 self._on_end(worker, end)
         self._take_running(worker, seen)
         for refused in seen.refused:
+            if refused in worker.entries_by_key:
+                worker.health.on_refused(self._clock.monotonic())
             self._resolve(worker, refused, "refused")
         ended = {end.key for end in seen.ended}
         for sealed in seen.sealed:
--- a/pimentobridge/core/scheduling/health.py
+++ b/pimentobridge/core/scheduling/health.py
@@ -12,6 +12,7 @@
 # taken out: a job that can never be done fails everywhere, alone.
 FAILED_JOBS_TO_EJECT = 2
 FIRST_EJECTION_S = 4.0
+REFUSAL_PAUSE_S = 1.0
 MAX_EJECTION_S = 16.0
 
 
@@ -32,6 +33,12 @@
         self.failed_jobs.clear()
         self.ejection_s = FIRST_EJECTION_S
 
+    def on_refused(self, now_s: float) -> None:
+        """Takes a start that the worker refused; asking on would be in vain."""
+        self.ejected_until_s = max(
+            self.ejected_until_s, now_s + REFUSAL_PAUSE_S
+        )
+
     def on_stalled(self, now_s: float) -> None:
         """Takes a run that stands still: others there would as well."""
         self._eject(now_s)
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -23,6 +23,11 @@
     from pimentobridge.core.scheduling import engine as engine_lib
 
 
+# A third of the shortest bound for guaranteed room: ends of other runs often
+# free it by then, and the stops and records fit in the rest.
+WAIT_FOR_FREE_ROOM_S = 1.0
+
+
 class Planner:
     """Starts waiting units on free room and reclaims guaranteed room.
 
@@ -183,6 +188,8 @@
         entitled: set[types.JobId],
     ) -> None:
         """Stops what stands in the way of an urgent unit."""
+        now_s = self._clock.monotonic()
+        guaranteed = tracked.id in entitled
         step = tracked.step_of(step_number)
         workers = list(candidates.workers_by_key.values())
         hoped = dict(candidates.rooms)
@@ -203,19 +210,32 @@
                 service=service,
                 rooms=hoped,
                 victims=reclaim.possible_victims(
-                    workers, entitled, guaranteed=tracked.id in entitled
+                    workers, entitled, guaranteed=guaranteed, now_s=now_s
                 ),
             )
             if chosen is None:
                 return
             victims, places = chosen
-            for victim in victims:
-                self._stop(victim, tracked)
+            lost = sum(victim.lost_work(now_s) for victim in victims)
+            waited = now_s - tracked.first_seen_s >= WAIT_FOR_FREE_ROOM_S
+            if lost <= reclaim.loss_limit(guaranteed=guaranteed, waited=waited):
+                for victim in victims:
+                    self._stop(victim, tracked, lost)
+            else:
+                # Time alone will change the limit.
+                self._engine.needs_pass = True
+                if not guaranteed:
+                    return
         # Keeps what comes free from jobs of lower rank.
         for key in places:
             candidates.take(key, step.footprint)
 
-    def _stop(self, victim: reclaim.Victim, tracked: ledger.TrackedJob) -> None:
+    def _stop(
+        self,
+        victim: reclaim.Victim,
+        tracked: ledger.TrackedJob,
+        lost_work: float,
+    ) -> None:
         for worker, entry in victim.entries:
             entry.stop = True
             self._log(
@@ -228,7 +248,7 @@
                 waited_s=round(
                     self._clock.monotonic() - tracked.first_seen_s, 3
                 ),
-                lost_work=round(victim.lost_work, 1),
+                lost_work=round(lost_work, 1),
             )
 
 
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -17,9 +17,11 @@
     from pimentobridge.core.scheduling import fleet
     from pimentobridge.core.scheduling import ledger
 
-# Work that an urgent job without a guarantee may throw away, in core-seconds:
-# about what its being on time is worth.
-MAX_LOSS_WITHOUT_GUARANTEE = 400.0
+# Work that an urgent job may throw away at once, in core-seconds: that of runs
+# which save their work or have just begun.
+SMALL_LOSS = 50.0
+# Work that one without a guarantee may throw away after its wait.
+LARGE_LOSS = 400.0
 # Weight of an accelerator beside a core in the work that a stop throws away.
 CORES_PER_ACCELERATOR = 8
 
@@ -31,10 +33,9 @@
         self.unit = unit
         self.entries: list[tuple[fleet.TrackedWorker, ledger.RunEntry]] = []
 
-    @property
-    def lost_work(self) -> float:
-        """Core-seconds that a stop would throw away."""
-        return sum(_lost(entry) for _, entry in self.entries)
+    def lost_work(self, now_s: float) -> float:
+        """Returns the core-seconds that a stop would throw away."""
+        return sum(_lost(entry, now_s) for _, entry in self.entries)
 
     @property
     def priority(self) -> int:
@@ -50,13 +51,25 @@
         return freed
 
 
-def _lost(entry: ledger.RunEntry) -> float:
+def _lost(entry: ledger.RunEntry, now_s: float) -> float:
     step = entry.step
-    if step.checkpointing or entry.percent is None:
+    if step.checkpointing or entry.started_s is None:
         return 0.0
     cores = step.request.cpu_millicores / 1000
     cores += step.request.accelerators * CORES_PER_ACCELERATOR
-    return cores * step.estimate_s * entry.percent / 100
+    return cores * (now_s - entry.started_s)
+
+
+def loss_limit(*, guaranteed: bool, waited: bool) -> float:
+    """Returns the core-seconds that an urgent job may throw away.
+
+    Args:
+        guaranteed: its account's guarantee covers it.
+        waited: it has waited for room to come free by itself.
+    """
+    if not waited:
+        return SMALL_LOSS
+    return float("inf") if guaranteed else LARGE_LOSS
 
 
 def possible_victims(
@@ -64,6 +77,7 @@
     entitled: set[types.JobId],
     *,
     guaranteed: bool,
+    now_s: float,
 ) -> list[Victim]:
     """Returns the units that an urgent job may displace, cheapest first.
 
@@ -71,7 +85,8 @@
         workers: where the units run.
         entitled: jobs that the guarantees cover.
         guaranteed: the urgent job is one of them. Otherwise it displaces only
-            what is less urgent and loses little.
+            what is less urgent.
+        now_s: monotonic time.
     """
     by_unit: dict[int, Victim] = {}
     for worker in workers:
@@ -84,11 +99,10 @@
                 continue
             victim = by_unit.setdefault(id(entry.unit), Victim(entry.unit))
             victim.entries.append((worker, entry))
-    limit = float("inf") if guaranteed else MAX_LOSS_WITHOUT_GUARANTEE
     return sorted(
-        (victim for victim in by_unit.values() if victim.lost_work <= limit),
+        by_unit.values(),
         key=lambda victim: (
-            victim.lost_work,
+            victim.lost_work(now_s),
             -victim.priority,
             str(victim.entries[0][1].name),
         ),
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine as engine_lib
+from pimentobridge.core.scheduling import health
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import stalls
 
@@ -314,6 +315,10 @@
     ((_, key),) = started(bench.submit(job()))
     bench.observe(0, refused=(key,))
     bench.plan()
+    assert started(bench.observe_all()) == []
+    bench.clock.advance(health.REFUSAL_PAUSE_S)
+    bench.observe_all()
+    bench.plan()
     bench.record()
     ((_, again),) = started(bench.observe_all())
     assert again.run == key.run + 1
@@ -381,8 +386,15 @@
     batch = job("b" * 16, model.Step(8, GPU, 30.0))
     keys = [key for _, key in started(bench.submit(batch))]
     bench.observe(0, running=running(*keys))
+    bench.clock.advance(10.0)
+    bench.observe(0, running=running(*keys))
     bench.engine.put_job(job("c" * 16, model.Step(1, WORKER, 1.0), priority=0))
     bench.plan()
+    assert bench.observe(0, running=running(*keys)).stops == ()
+    assert bench.engine.needs_pass
+    bench.clock.advance(planner_lib.WAIT_FOR_FREE_ROOM_S)
+    bench.observe(0, running=running(*keys))
+    bench.plan()
     bench.record()
     assert set(bench.observe(0, running=running(*keys)).stops) == set(keys)
     ends = tuple(
@@ -396,34 +408,38 @@
     assert [start.key.task[:16] for start in order.starts] == ["c" * 16]
 
 
-def _stops_for_an_urgent_job(batch: model.Job, percent: int) -> int:
+def _stops_for_an_urgent_job(batch: model.Job, ran_s: float) -> int:
     """Returns how many runs of a batch job an unguaranteed job displaces."""
     bench = Bench(1)
     keys = [key for _, key in started(bench.submit(batch))]
-    rows = tuple(runs.RunningTask(key, "", percent) for key in keys)
-    bench.observe(0, running=rows)
+    bench.observe(0, running=running(*keys))
+    bench.clock.advance(ran_s)
+    bench.observe(0, running=running(*keys))
     bench.engine.put_job(
         job("c" * 16, model.Step(1, WORKER), priority=0, account="stranger")
     )
-    bench.plan()
+    for _ in range(3):
+        bench.plan()
+        bench.clock.advance(0.7)
+        bench.observe(0, running=running(*keys))
     bench.record()
-    return len(bench.observe(0, running=rows).stops)
+    return len(bench.observe(0, running=running(*keys)).stops)
 
 
 def test_an_urgent_job_never_waits_behind_saved_batch_work() -> None:
     saved = job("b" * 16, model.Step(8, GPU, 300.0, checkpointing=True))
-    assert _stops_for_an_urgent_job(saved, 90) == 8
+    assert _stops_for_an_urgent_job(saved, 90.0) == 8
 
 
 def test_an_urgent_job_without_guarantee_spares_much_unsaved_work() -> None:
     unsaved = job("b" * 16, model.Step(8, GPU, 300.0))
-    assert _stops_for_an_urgent_job(unsaved, 90) == 0
-    assert _stops_for_an_urgent_job(unsaved, 1) == 8
+    assert _stops_for_an_urgent_job(unsaved, 90.0) == 0
+    assert _stops_for_an_urgent_job(unsaved, 0.1) == 8
 
 
 def test_an_urgent_job_without_guarantee_spares_other_urgent_jobs() -> None:
     urgent = job("b" * 16, model.Step(8, GPU, 1.0), priority=0)
-    assert _stops_for_an_urgent_job(urgent, 0) == 0
+    assert _stops_for_an_urgent_job(urgent, 0.0) == 0
 
 
 def test_a_worker_that_fails_several_jobs_is_left_out() -> None:
