--- a/pimentobridge/cli/bench.py
+++ b/pimentobridge/cli/bench.py
@@ -18,6 +18,10 @@
     from pimentobridge.bench import harness
 
 
+# The part of the demo that runs jobs on the platform's stand-ins.
+JOBS = "jobs"
+
+
 def add_commands(
     commands: argparse._SubParsersAction[argparse.ArgumentParser],
 ) -> None:
@@ -41,10 +45,11 @@
     demo = commands.add_parser(
         "demo",
         help="run the users' deployments as processes on loopback",
-        description="Runs each deployment at its size of today, kills an agent"
-        " and an entry, and checks the invariants.",
+        description="Runs jobs on stand-ins of the platform and kills the"
+        " scheduler; then runs each deployment at its size of today, kills an"
+        " agent and an entry, and checks the invariants.",
     )
-    demo.add_argument("deployment", nargs="*", metavar="muida|lunetta")
+    demo.add_argument("deployment", nargs="*", metavar="jobs|muida|lunetta")
     demo.set_defaults(run=_demo)
 
 
@@ -82,14 +87,20 @@
 def _demo(options: argparse.Namespace) -> int:
     # The launcher starts processes, so it is no part of the product's imports.
     demo = importlib.import_module("pimentobridge.testing.demo")
-    known = ("muida", "lunetta")
+    jobs = importlib.import_module("pimentobridge.testing.platform_demo")
+    known = ("muida", "lunetta", JOBS)
     unknown = [name for name in options.deployment if name not in known]
     if unknown:
         print(
-            f"pimentobridge: received {unknown[0]!r}; expected muida or"
-            " lunetta.",
+            f"pimentobridge: received {unknown[0]!r}; expected muida,"
+            f" lunetta or {JOBS}.",
             file=sys.stderr,
         )
         return 2
-    code: int = demo.run(options.deployment)
-    return code
+    names = [name for name in options.deployment if name != JOBS]
+    codes: list[int] = []
+    if JOBS in options.deployment or not names:
+        codes.append(jobs.run())
+    if names or not options.deployment:
+        codes.append(demo.run(names))
+    return max(codes)
--- /dev/null
+++ b/pimentobridge/testing/platform_servers.py
@@ -0,0 +1,193 @@
+"""Process that serves the platform's stand-ins over HTTP.
+
+One process holds the store and all workers' runners, so that gangs meet; each
+runner sends heartbeats to its agent's address.
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import trio
+
+from pimentobridge.core.jobs import model
+from pimentobridge.daemons import http
+from pimentobridge.daemons import http_server
+from pimentobridge.platform import http_client
+from pimentobridge.testing import platform_runner
+from pimentobridge.testing import platform_store
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Handler = Callable[[str, str, Any, str], Awaitable[http_client.Answer]]
+
+CAPACITY = model.Resources(32_000, 128_000, 8)
+SERVICE = "plans"
+MAX_LEASE_S = 6.0
+HEARTBEAT_S = 0.5
+OPERATOR_PATH = "/operator/"
+STARTS_PATH = "/starts"
+WORKERS_PER_RACK = 3
+
+
+class _App:
+    """ASGI application in front of a handler."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+
+    async def __call__(
+        self, scope: http.Scope, receive: Any, send: Any
+    ) -> None:
+        if scope["type"] == "lifespan":
+            await http.accept_lifespan(receive, send)
+            return
+        raw = await http.read_body(receive)
+        query = scope["query_string"].decode()
+        path = scope["path"] + (f"?{query}" if query else "")
+        body = msgspec.json.decode(raw) if raw else None
+        expected = http.header(scope, "expected-instance")
+        answer = await self._handler(scope["method"], path, body, expected)
+        await http.send_response(
+            send,
+            http.Response(answer.status, msgspec.json.encode(answer.body)),
+        )
+
+
+class _StartCounter(platform_runner.Watcher):
+    """Counts the runs of each task that worked to their end."""
+
+    def __init__(self) -> None:
+        self.done_by_task: dict[str, int] = {}
+        self.starts = 0
+
+    def on_start(
+        self,
+        runner: platform_runner.PlatformRunner,
+        run: platform_runner.Run,
+    ) -> None:
+        self.starts += 1
+
+    def on_end(
+        self,
+        runner: platform_runner.PlatformRunner,
+        run: platform_runner.Run,
+        cause: str,
+    ) -> None:
+        if cause == "done":
+            count = self.done_by_task.get(run.task, 0)
+            self.done_by_task[run.task] = count + 1
+
+
+async def _serve(store_at: str, runners_at: list[str]) -> None:
+    counter = _StartCounter()
+    store = platform_store.PlatformStore(trio.current_time)
+    pool = platform_runner.RunnerPool(trio.current_time, counter)
+
+    async def handle_store(
+        method: str, path: str, body: Any, expected: str
+    ) -> http_client.Answer:
+        del expected
+        if path.startswith(OPERATOR_PATH):
+            store.put(path.removeprefix(OPERATOR_PATH), body["value"])
+            return http_client.Answer(200, {})
+        if path == STARTS_PATH:
+            return http_client.Answer(
+                200, {"starts": counter.starts, "done": counter.done_by_task}
+            )
+        return await store.handle(method, path, body)
+
+    never = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(pool.run)
+        nursery.start_soon(_expire, store)
+        nursery.start_soon(
+            http_server.serve, _App(handle_store), [store_at], never
+        )
+        for number, addresses in enumerate(runners_at):
+            address, _, control = addresses.partition("=")
+            runner = platform_runner.PlatformRunner(
+                pool,
+                f"worker-{number}",
+                CAPACITY,
+                born_ms=int(time.time() * 1000),
+                max_lease_s=MAX_LEASE_S,
+            )
+            app = _App(_runner_handler(runner))
+            nursery.start_soon(http_server.serve, app, [address], never)
+            nursery.start_soon(_beat, runner, number, address, control)
+
+
+def _runner_handler(runner: platform_runner.PlatformRunner) -> Handler:
+    async def handle(
+        method: str, path: str, body: Any, expected: str
+    ) -> http_client.Answer:
+        del method
+        return await runner.handle(path, body, expected)
+
+    return handle
+
+
+async def _expire(store: platform_store.PlatformStore) -> None:
+    while True:
+        store.expire_now()
+        await trio.sleep(0.05)
+
+
+async def _beat(
+    runner: platform_runner.PlatformRunner,
+    number: int,
+    address: str,
+    control: str,
+) -> None:
+    client = http_client.HttpClient(control)
+    sequence = 0
+    while True:
+        sequence += 1
+        await client.call(
+            "POST",
+            f"/v1/instances/{runner.worker}/heartbeat",
+            timeout_s=1.0,
+            body={
+                "service": SERVICE,
+                "address": address,
+                "zone": "north-a",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "capacity": {
+                    "cpu": CAPACITY.cpu_millicores,
+                    "memMb": CAPACITY.memory_mib,
+                    "gpu": CAPACITY.accelerators,
+                },
+                "labels": ["a", f"rack-{number // WORKERS_PER_RACK}"],
+                "sequence": sequence,
+                "born": runner.born_ms,
+                "clockMs": runner.clock_s * 1000,
+            },
+        )
+        await trio.sleep(HEARTBEAT_S)
+
+
+def main() -> None:
+    """Serves until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--store", required=True, metavar="IP:PORT")
+    parser.add_argument(
+        "--runner",
+        action="append",
+        default=[],
+        metavar="IP:PORT=CONTROL-IP:PORT",
+    )
+    options = parser.parse_args()
+    trio.run(_serve, options.store, options.runner)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_job_api.py
@@ -0,0 +1,207 @@
+"""What callers are told, from the API down to a store stand-in."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+import pytest
+import trio
+
+from pimentobridge.bench import harness
+from pimentobridge.lab import wires
+from pimentobridge.lab import world as world_lib
+
+JOB = "0123456789abcdef"
+STEP = {"count": 1, "cpu": 1, "memMb": 1, "gpu": 1, "estimateMs": 1000}
+SPEC = json.dumps({"seconds": 1.0, "request": [1, 1, 1]})
+GOOD = {"spec": SPEC, "steps": [STEP]}
+
+
+class Caller:
+    def __init__(self, world: world_lib.World) -> None:
+        self._world = world
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        key: str = world_lib.KEY,
+        entry: int = 0,
+    ) -> tuple[int, Any]:
+        api = self._world.entries[entry].api
+        assert api is not None
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        sent: list[dict[str, Any]] = []
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": raw}
+
+        async def send(event: dict[str, Any]) -> None:
+            sent.append(event)
+
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "headers": [
+                (b"host", b"host.example"),
+                (b"authorization", f"Bearer {key}".encode()),
+            ],
+        }
+        await api(scope, receive, send)
+        answer = sent[1]["body"]
+        return sent[0]["status"], json.loads(answer) if answer else None
+
+
+def play(script: Any, *, configured: bool = True) -> Any:
+    async def main() -> Any:
+        async with trio.open_nursery() as nursery:
+            world = world_lib.World(
+                rng=random.Random(1), nursery=nursery, entries=2, workers=2
+            )
+            if configured:
+                world.put_configuration()
+            world.start()
+            await trio.sleep(3.0)
+            found = await script(world, Caller(world))
+            nursery.cancel_scope.cancel()
+        return found
+
+    return harness.run_virtual(main)
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "says"),
+    [
+        (b"{", 400, "can't be read"),
+        (b"\xff\xfe", 400, "can't be read"),
+        ({"spec": SPEC}, 400, "steps"),
+        ({"spec": SPEC, "steps": []}, 400, "no steps"),
+        ({"spec": "x" * 4001, "steps": [STEP]}, 400, "4001 bytes"),
+        ({"spec": SPEC, "steps": [{**STEP, "after": [0]}]}, 400, "earlier"),
+        ({"spec": SPEC, "steps": [{**STEP, "count": 0}]}, 400, "no tasks"),
+        ({"spec": SPEC, "steps": [{**STEP, "gpu": -1}]}, 400, "negative"),
+        ({"spec": SPEC, "steps": [{**STEP, "gpu": "1"}]}, 400, "read"),
+        (b" " * 300_000, 413, "limit"),
+        (GOOD, 200, ""),
+    ],
+)
+def test_bodies(body: object, status: int, says: str) -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        return await caller.call("POST", f"/queue-1/{JOB}", body)
+
+    got, answer = play(script)
+    assert got == status
+    assert says in json.dumps(answer)
+
+
+def test_refusals_name_what_is_wrong() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        return [
+            (await caller.call("POST", f"/queue-9/{JOB}", GOOD))[0],
+            (await caller.call("POST", f"/queue-1/{JOB}", GOOD, key="x"))[0],
+            (await caller.call("POST", "/queue-1/short", GOOD))[0],
+            (await caller.call("PUT", f"/queue-1/{JOB}", GOOD))[0],
+            (await caller.call("GET", f"/queue-1/{JOB}"))[0],
+            (await caller.call("DELETE", f"/queue-1/{JOB}"))[0],
+        ]
+
+    assert play(script) == [404, 401, 400, 405, 410, 410]
+
+
+def test_without_a_configuration_nothing_is_taken() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        return [
+            (await caller.call("POST", f"/queue-1/{JOB}", GOOD))[0],
+            (await caller.call("GET", "/v1/readiness"))[0],
+        ]
+
+    assert play(script, configured=False) == [503, 503]
+
+
+def test_a_job_from_submission_to_its_end() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        seen = [(await caller.call("POST", f"/queue-1/{JOB}", GOOD))[0]]
+        seen.append((await caller.call("POST", f"/queue-1/{JOB}", GOOD))[0])
+        await trio.sleep(0.5)
+        for entry in (0, 1):
+            _, answer = await caller.call("GET", f"/queue-1/{JOB}", entry=entry)
+            seen.append(answer["state"])
+        await trio.sleep(1.5)
+        for entry in (0, 1):
+            _, answer = await caller.call("GET", f"/queue-1/{JOB}", entry=entry)
+            seen.append(answer["state"])
+        return seen, world.checker.started
+
+    states, started = play(script)
+    assert states == [200, 200, *["running"] * 2, *["completed"] * 2]
+    assert started == 1
+
+
+def test_pending_counts_jobs_that_have_not_begun() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        big = {"spec": SPEC, "steps": [{**STEP, "gpu": 99}]}
+        await caller.call("POST", f"/queue-1/{JOB}", big)
+        await trio.sleep(1.0)
+        return [
+            (await caller.call("GET", "/queue-1/", entry=entry))[1]
+            for entry in (0, 1)
+        ]
+
+    assert play(script) == [{"pending": 1}, {"pending": 1}]
+
+
+def test_a_caller_is_told_at_once_that_the_store_is_away() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        world.store_faults.away = wires.Away.BUSY
+        await trio.sleep(2.0)
+        began_s = trio.current_time()
+        status, answer = await caller.call("POST", f"/queue-1/{JOB}", GOOD)
+        world.store_faults.away = None
+        await trio.sleep(10.0)
+        return (
+            status,
+            trio.current_time() - 10.0 - began_s,
+            answer,
+            world.checker.started,
+        )
+
+    status, waited_s, answer, started = play(script)
+    assert status == 503
+    assert "not run" in answer["error"]
+    assert waited_s < 0.15
+    assert started == 0
+
+
+def test_no_false_not_run_while_a_write_may_still_take_effect() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        world.store_faults.late = 1.0
+        statuses = []
+        for _ in range(3):
+            status, _ = await caller.call("POST", f"/queue-1/{JOB}", GOOD)
+            statuses.append(status)
+        world.store_faults.late = 0.0
+        await trio.sleep(12.0)
+        _, answer = await caller.call("GET", f"/queue-1/{JOB}")
+        return statuses, answer
+
+    statuses, answer = play(script)
+    assert 503 not in statuses
+    assert answer == {"state": "completed"}
+
+
+def test_an_entry_that_the_store_refuses_submits_through_another() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        refused = world.entries[0].node
+        world.store_faults.away_by_node[refused] = wires.Away.BUSY
+        await trio.sleep(1.0)
+        status, _ = await caller.call("POST", f"/queue-1/{JOB}", GOOD)
+        await trio.sleep(5.0)
+        _, answer = await caller.call("GET", f"/queue-1/{JOB}", entry=1)
+        return status, answer
+
+    assert play(script) == (200, {"state": "completed"})
