--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -5,6 +5,8 @@
 import collections
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
@@ -148,6 +150,10 @@
             size=unit.size,
             run=unit.run,
             workers=sorted({key.worker for key in places}),
+            request=list(msgspec.structs.astuple(step.request)),
+            estimate_s=step.estimate_s,
+            checkpointing=step.checkpointing,
+            waited_s=round(self._clock.monotonic() - tracked.first_seen_s, 3),
         )
         return True
 
