A guaranteed job throws away any work only after 1.7 s

Change: 50 core-seconds at once, 400 after 1 s, any for a guarantee after 1.7 s. Ruled out: the losses by the final power failure, which are not priced.

--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -25,11 +25,6 @@
     from pimentobridge.core.scheduling import engine as engine_lib
 
 
-# A third of the shortest bound for guaranteed room: ends of other runs often
-# free it by then, and the stops and records fit in the rest.
-WAIT_FOR_FREE_ROOM_S = 1.0
-
-
 class Planner:
     """Starts waiting units on free room and reclaims guaranteed room.
 
@@ -223,8 +218,11 @@
                 return
             victims, places = chosen
             lost = sum(victim.lost_work(now_s) for victim in victims)
-            waited = now_s - tracked.first_seen_s >= WAIT_FOR_FREE_ROOM_S
-            if lost <= reclaim.loss_limit(guaranteed=guaranteed, waited=waited):
+            limit = reclaim.loss_limit(
+                guaranteed=guaranteed,
+                waited_s=now_s - tracked.first_seen_s,
+            )
+            if lost <= limit:
                 for victim in victims:
                     self._stop(victim, tracked, lost)
             else:
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -20,8 +20,12 @@
 # Work that an urgent job may throw away at once, in core-seconds: that of runs
 # which save their work or have just begun.
 SMALL_LOSS = 50.0
-# Work that one without a guarantee may throw away after its wait.
+# Work that it may throw away once it has waited.
 LARGE_LOSS = 400.0
+WAIT_FOR_LARGE_LOSS_S = 1.0
+# A guaranteed job waits this long before it throws away any amount: the stops,
+# their records and the starts fit in the rest of the platform's bound.
+WAIT_FOR_ANY_LOSS_S = 1.7
 # Weight of an accelerator beside a core in the work that a stop throws away.
 CORES_PER_ACCELERATOR = 8
 
@@ -60,16 +64,18 @@
     return cores * (now_s - entry.started_s)
 
 
-def loss_limit(*, guaranteed: bool, waited: bool) -> float:
+def loss_limit(*, guaranteed: bool, waited_s: float) -> float:
     """Returns the core-seconds that an urgent job may throw away.
 
     Args:
         guaranteed: its account's guarantee covers it.
-        waited: it has waited for room to come free by itself.
+        waited_s: how long it has waited for room to come free by itself.
     """
-    if not waited:
+    if waited_s < WAIT_FOR_LARGE_LOSS_S:
         return SMALL_LOSS
-    return float("inf") if guaranteed else LARGE_LOSS
+    if guaranteed and waited_s >= WAIT_FOR_ANY_LOSS_S:
+        return float("inf")
+    return LARGE_LOSS
 
 
 def possible_victims(
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -15,6 +15,7 @@
 from pimentobridge.core.scheduling import engine as engine_lib
 from pimentobridge.core.scheduling import health
 from pimentobridge.core.scheduling import planner as planner_lib
+from pimentobridge.core.scheduling import reclaim
 from pimentobridge.core.scheduling import stalls
 
 MAX_LEASE_S = 6.0
@@ -392,7 +393,7 @@
     bench.plan()
     assert bench.observe(0, running=running(*keys)).stops == ()
     assert bench.engine.needs_pass
-    bench.clock.advance(planner_lib.WAIT_FOR_FREE_ROOM_S)
+    bench.clock.advance(reclaim.WAIT_FOR_ANY_LOSS_S)
     bench.observe(0, running=running(*keys))
     bench.plan()
     bench.record()
