A successor counts earlier work as lost; a member at 100 % doesn't stand still

Changes: 100 % is no stall; what was listed at first counts by the estimate. An unsettled write's 504 now says when to come back, as the 503 does. Tests for both failed before.

--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -65,6 +65,8 @@
         percent: progress that the worker last listed; None before.
         started_s: monotonic time at which it was first listed as running.
         moved_s: monotonic time at which its progress last grew.
+        first_percent: progress when it was first listed, which is more than
+            none for a run that an earlier scheduler started.
     """
 
     tracked: TrackedJob
@@ -77,6 +79,7 @@
     percent: int | None = None
     started_s: float | None = None
     moved_s: float = 0.0
+    first_percent: int = 0
 
     @property
     def key(self) -> runs.RunKey:
@@ -92,10 +95,18 @@
         """Takes what the worker lists of the run."""
         if self.started_s is None:
             self.started_s = now_s
+            self.first_percent = percent
         if self.percent is None or percent > self.percent:
             self.moved_s = now_s
         self.percent = percent
 
+    def worked_s(self, now_s: float) -> float:
+        """Returns about how long the run has been at work, in seconds."""
+        if self.started_s is None:
+            return 0.0
+        earlier_s = self.step.estimate_s * self.first_percent / 100
+        return earlier_s + now_s - self.started_s
+
     @property
     def is_current(self) -> bool:
         """Whether the unit still counts on this run."""
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -57,11 +57,11 @@
 
 def _lost(entry: ledger.RunEntry, now_s: float) -> float:
     step = entry.step
-    if step.checkpointing or entry.started_s is None:
+    if step.checkpointing:
         return 0.0
     cores = step.request.cpu_millicores / 1000
     cores += step.request.accelerators * CORES_PER_ACCELERATOR
-    return cores * (now_s - entry.started_s)
+    return cores * entry.worked_s(now_s)
 
 
 def loss_limit(*, guaranteed: bool, waited_s: float) -> float:
--- a/pimentobridge/core/scheduling/stalls.py
+++ b/pimentobridge/core/scheduling/stalls.py
@@ -16,6 +16,7 @@
 
 # Reports come twice a second and a gang's members may come late.
 MIN_STILL_S = 3.0
+ALL_DONE_PERCENT = 100
 # Stillness beyond the pace so far, or beyond the estimate's before any.
 PACE_FACTOR = 8.0
 ESTIMATE_FACTOR = 0.4
@@ -56,6 +57,9 @@
     ) -> None:
         if entry.started_s is None or entry.step.long_running:
             return
+        if entry.percent == ALL_DONE_PERCENT:
+            # A member that has done its part waits for the gang's others.
+            return
         still_s = now_s - entry.moved_s
         if still_s <= allowed_still_s(entry):
             return
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -27,6 +27,7 @@
 ANSWER_WITHIN = 0.85
 # A refusal means an outage of the store, which lasts seconds.
 RETRY_AFTER_S = 2
+_RETRY_AFTER = (b"retry-after", str(RETRY_AFTER_S).encode())
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
 
 
@@ -144,7 +145,7 @@
             return _answer(200, {})
         if written is control.Written.NOT_WRITTEN:
             return _refusal("the store doesn't take jobs at the moment")
-        return _error(504, "the store didn't answer; repeat under the same id.")
+        return _unsettled("the store didn't answer; repeat under the same id.")
 
     async def _state(
         self, job_id: types.JobId, deadline_s: float
@@ -155,7 +156,7 @@
         if state is control.Written.ABSENT:
             logs.event("job unknown", job=job_id)
             return _error(410, "there is no such job.")
-        return _error(504, "the job's state isn't known now; ask again.")
+        return _unsettled("the job's state isn't known now; ask again.")
 
     async def _cancel(
         self, job_id: types.JobId, deadline_s: float
@@ -168,7 +169,7 @@
             return _error(410, "there is no such job.")
         if written is control.Written.NOT_WRITTEN:
             return _refusal("the store doesn't take cancels at the moment")
-        return _error(504, "the store didn't answer; cancel again.")
+        return _unsettled("the store didn't answer; cancel again.")
 
     def _deadline_s(self, scope: http.Scope) -> float:
         text = http.header(scope, "timeout-ms")
@@ -185,10 +186,19 @@
     return http.Response(status, msgspec.json.encode({"error": detail}))
 
 
+def _unsettled(detail: str) -> http.Response:
+    """Returns the answer while a write may or may not take effect."""
+    return http.Response(
+        504,
+        msgspec.json.encode({"error": detail, "retry_after_s": RETRY_AFTER_S}),
+        headers=[_RETRY_AFTER],
+    )
+
+
 def _refusal(why: str) -> http.Response:
     body = {"error": f"not run: {why}.", "retry_after_s": RETRY_AFTER_S}
     return http.Response(
         503,
         msgspec.json.encode(body),
-        headers=[(b"retry-after", str(RETRY_AFTER_S).encode())],
+        headers=[_RETRY_AFTER],
     )
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -495,6 +495,29 @@
     assert _percents(bench, key, [5, 10, 15] + [15] * 14) == 1
 
 
+def test_a_member_that_has_done_its_part_is_left_alone() -> None:
+    bench = Bench(1)
+    ((_, key),) = started(bench.submit(job()))
+    assert _percents(bench, key, [50] + [100] * 20) == 0
+
+
+def test_a_successor_counts_the_work_from_before_its_term() -> None:
+    bench = Bench(1)
+    long = job("b" * 16, model.Step(8, GPU, 100.0))
+    keys = [key for _, key in started(bench.submit(long))]
+    record = bench.engine.jobs_by_id[types.JobId("b" * 16)].progress
+    bench.engine = bench.new_engine()
+    bench.engine.put_job(long, record, revision=5)
+    rows = tuple(runs.RunningTask(key, "", 90) for key in keys)
+    bench.observe(0, running=rows)
+    bench.engine.put_job(
+        job("c" * 16, model.Step(1, WORKER), priority=0, account="stranger")
+    )
+    bench.plan()
+    bench.record()
+    assert bench.observe(0, running=rows).stops == ()
+
+
 def test_a_slow_run_is_left_alone() -> None:
     bench = Bench(1)
     ((_, key),) = started(bench.submit(job()))
