--- a/pimentobridge/daemons/http_server.py
+++ b/pimentobridge/daemons/http_server.py
@@ -8,16 +8,28 @@
 import hypercorn.config
 import hypercorn.trio
 
+from pimentobridge.daemons import logs
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     import trio
 
+# Port of the metrics in deploy/system.toml, the same on every machine.
+METRICS_PORT = 9464
 ACCEPT_BACKLOG = 512
 CLOSE_TIMEOUT_S = 0.5
 KEEP_ALIVE_S = 20.0
 
 
+async def serve_metrics(app: Any, address: str, stopped: trio.Event) -> None:
+    """Serves metrics; a process without its metrics port works on."""
+    try:
+        await serve(app, [address], stopped)
+    except OSError as error:
+        logs.event("metrics not served", address=address, why=str(error))
+
+
 async def serve(app: Any, binds: Sequence[str], stopped: trio.Event) -> None:
     """Serves an application at all of `binds` until `stopped` is set."""
     config = hypercorn.config.Config()
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import http
 from pimentobridge.daemons import job_entry
+from pimentobridge.daemons import job_metrics
 from pimentobridge.daemons import logs
 from pimentobridge.platform import submissions
 from pimentobridge.protocol import control
@@ -44,6 +45,7 @@
     ) -> None:
         self._entry = entry
         self._clock = clock
+        self.metrics = job_metrics.Metrics(entry.gauges)
 
     async def __call__(
         self, scope: http.Scope, receive: Any, send: Any
@@ -54,7 +56,15 @@
             return
         if scope["type"] != "http":
             return
-        await http.send_response(send, await self._respond(scope, receive))
+        began_s = self._clock.monotonic()
+        response = await self._respond(scope, receive)
+        if scope["path"] != READINESS_PATH:
+            self.metrics.observe_request(
+                scope["method"],
+                response.status,
+                self._clock.monotonic() - began_s,
+            )
+        await http.send_response(send, response)
 
     async def _respond(self, scope: http.Scope, receive: Any) -> http.Response:
         path: str = scope["path"]
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -119,6 +119,23 @@
             )
         )
 
+    def gauges(self) -> dict[str, float]:
+        """Returns what the metrics show of this entry."""
+        now_s = self._clock.monotonic()
+        version = self.configuration.version if self.configuration else 0
+        values: dict[str, float] = {
+            "scheduling": float(self.leadership.acting),
+            "ready": float(self.ready),
+            "store_away": float(self._store.away),
+            "store_calls_total": self._store.calls,
+            "mirror_age_seconds": now_s - self.mirror.heard_s,
+            "configuration_version": version,
+            "log_lines_left_out_total": logs.left_out(),
+        }
+        if self.scheduler is not None:
+            values |= self.scheduler.gauges()
+        return values
+
     # Callers' requests.
 
     async def submit(
--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -49,6 +49,12 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(entry.run)
         nursery.start_soon(http_server.serve, app, binds, stopped)
+        nursery.start_soon(
+            http_server.serve_metrics,
+            app.metrics,
+            f"{settings.ip}:{http_server.METRICS_PORT}",
+            stopped,
+        )
         logs.event("started", role="entry", settings=str(settings))
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- /dev/null
+++ b/pimentobridge/daemons/job_metrics.py
@@ -0,0 +1,90 @@
+"""Metrics of the entries and agents on the platform, as Prometheus text.
+
+Counters are those of the logged events, so that a line left out is counted all
+the same. Labels are messages, outcomes, methods and states: a few dozen series.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aioprometheus import collectors
+from aioprometheus.formats import text
+
+from pimentobridge.daemons import http
+from pimentobridge.daemons import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PATH = "/metrics"
+LATENCY_BUCKETS_S = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.4, 5.0, 10.0, 30.0,
+]  # fmt: skip
+
+
+class Metrics:
+    """One process's metrics.
+
+    Args:
+        gauges: returns the present value of each gauge by its name.
+    """
+
+    def __init__(self, gauges: Callable[[], dict[str, float]]) -> None:
+        self._read_gauges = gauges
+        self._registry = collectors.Registry()
+        self._events = collectors.Counter(
+            "pimentobridge_events_total",
+            "Logged events by message and outcome.",
+            registry=self._registry,
+        )
+        self._requests = collectors.Histogram(
+            "pimentobridge_request_seconds",
+            "Seconds from a caller's request to its answer.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._gauges_by_name: dict[str, collectors.Gauge] = {}
+
+    def observe_request(self, method: str, status: int, seconds: float) -> None:
+        """Takes an answered request."""
+        labels = {"method": method, "status": str(status)}
+        self._requests.observe(labels, seconds)
+
+    def render(self) -> bytes:
+        """Returns the exposition text."""
+        for (message, outcome), count in logs.counts.items():
+            self._events.set({"event": message, "outcome": outcome}, count)
+        for name, value in self._read_gauges().items():
+            self._gauge(name).set({}, value)
+        rendered: bytes = text.TextFormatter().marshall(self._registry)
+        return rendered
+
+    def _gauge(self, name: str) -> collectors.Gauge:
+        gauge = self._gauges_by_name.get(name)
+        if gauge is None:
+            gauge = collectors.Gauge(
+                f"pimentobridge_{name}",
+                f"{name.replace('_', ' ').capitalize()}.",
+                registry=self._registry,
+            )
+            self._gauges_by_name[name] = gauge
+        return gauge
+
+    async def __call__(
+        self, scope: http.Scope, receive: Any, send: Any
+    ) -> None:
+        """Serves the metrics as an ASGI application."""
+        if scope["type"] == "lifespan":
+            await http.accept_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        if scope["path"] != PATH:
+            await http.send_response(send, http.Response(404, b""))
+            return
+        await http.send_response(
+            send,
+            http.Response(200, self.render(), content_type=http.METRICS_TYPE),
+        )
--- a/pimentobridge/daemons/logs.py
+++ b/pimentobridge/daemons/logs.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging as standard_logging
 import os
 import time
@@ -20,6 +21,12 @@
 BURST_LINES = 2000.0
 
 
+# Fields that say how a decision went; each has a few values.
+_OUTCOME_FIELDS = ("outcome", "cause", "state")
+# Events since the start by message and outcome, also those without a line.
+counts: collections.Counter[tuple[str, str]] = collections.Counter()
+
+
 class JsonFormatter(standard_logging.Formatter):
     """Formats a record as one JSON object."""
 
@@ -50,12 +57,13 @@
         self._budget = BURST_LINES
         self._counted_s = time.monotonic()
         self.left_out = 0
+        self.total_left_out = 0
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> None:
         """Takes a line, or counts it as left out."""
         if not self._admit():
-            self.left_out += 1
+            self._leave_out()
             return
         data = text.encode()
         if self.left_out and not self._rest:
@@ -64,11 +72,15 @@
             )
             data, self.left_out = note + b"\n" + data, 0
         if self._rest and not self._push():
-            self.left_out += 1
+            self._leave_out()
             return
         self._rest = data
         self._push()
 
+    def _leave_out(self) -> None:
+        self.left_out += 1
+        self.total_left_out += 1
+
     def flush(self) -> None:
         """Writes what an earlier call couldn't."""
         self._push()
@@ -96,15 +108,29 @@
         return not self._rest
 
 
+_writer: LineWriter | None = None
+
+
+def left_out() -> int:
+    """Returns how many lines were not written since the start."""
+    return 0 if _writer is None else _writer.total_left_out
+
+
 def set_up(node: str, level: str = "info") -> None:
     """Sends the process's logs to standard output."""
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(node))
     logging.use_absl_handler()
     logging.set_verbosity(level)
-    handler.python_handler.stream = LineWriter()
+    global _writer  # noqa: PLW0603  standard output is the process's own
+    _writer = LineWriter()
+    handler.python_handler.stream = _writer
 
 
 def event(message: str, /, **fields: object) -> None:
-    """Logs an event with its fields."""
+    """Logs an event with its fields, and counts it."""
+    outcome = next(
+        (str(fields[name]) for name in _OUTCOME_FIELDS if name in fields), ""
+    )
+    counts[(message, outcome)] += 1
     logging.get_absl_logger().info(message, extra={"fields": fields})
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import trio
@@ -156,6 +157,31 @@
         if self.engine.needs_pass or self.engine.dirty_by_id:
             self._wake.set()
 
+    def gauges(self) -> dict[str, float]:
+        """Returns what the metrics show of the schedule."""
+        engine = self.engine
+        states = collections.Counter(
+            tracked.state for tracked in engine.jobs_by_id.values()
+        )
+        lives = [
+            worker
+            for worker in engine.workers_by_life.values()
+            if worker.life is not None
+        ]
+        now_s = self._clock.monotonic()
+        return {
+            **{
+                f"jobs_{state.value}": states[state]
+                for state in progress_lib.JobState
+            },
+            "workers": len(lives),
+            "workers_taking_tasks": sum(
+                worker.takes_tasks(now_s) for worker in lives
+            ),
+            "runs": sum(len(worker.entries_by_key) for worker in lives),
+            "unrecorded_jobs": len(engine.dirty_by_id),
+        }
+
     def pending_by_queue(self) -> dict[str, int]:
         """Returns how many jobs of each queue haven't started."""
         counts: dict[str, int] = {}
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -88,6 +88,19 @@
             nursery.start_soon(self._report_forever)
             nursery.start_soon(self._look_forever)
 
+    def gauges(self) -> dict[str, float]:
+        """Returns what the metrics show of this agent."""
+        life = self._life
+        return {
+            "worker_known": float(life is not None),
+            "worker_draining": float(life is not None and life.draining),
+            "may_act": float(self._may_act()),
+            "orders_age_seconds": self._clock.monotonic() - self._echo_s,
+            "running_tasks": len(self._running),
+            "unrecorded_ends": len(self._ended),
+            "log_lines_left_out_total": logs.left_out(),
+        }
+
     # The worker's announcements.
 
     def on_heartbeat(self, beat: heartbeats.Heartbeat) -> None:
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -10,6 +10,7 @@
 from pimentobridge.core import types
 from pimentobridge.daemons import boot_clock
 from pimentobridge.daemons import http_server
+from pimentobridge.daemons import job_metrics
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import worker_agent
@@ -54,6 +55,12 @@
             [settings.control],
             stopped,
         )
+        nursery.start_soon(
+            http_server.serve_metrics,
+            job_metrics.Metrics(agent.gauges),
+            f"{settings.ip}:{http_server.METRICS_PORT}",
+            stopped,
+        )
         logs.event("started", role="agent", settings=str(settings))
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
