--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -19,7 +19,9 @@
 from pimentobridge.platform import kv_store
 from pimentobridge.protocol import zmq_transport
 
-# Callers' connections are served on until this long before the kill.
+# The balancer sends no new connections after two checks, a second apart.
+BALANCER_NOTICE_S = 2.5
+# Time left for closing before the kill.
 KILL_MARGIN_S = 1.5
 
 
@@ -65,9 +67,12 @@
                 logs.event("reload", changed="nothing that is in use")
         logs.event("draining")
         entry.draining = True
-        with trio.move_on_after(settings.grace_s - KILL_MARGIN_S):
+        drain_s = min(BALANCER_NOTICE_S, settings.grace_s - KILL_MARGIN_S)
+        with trio.move_on_after(drain_s):
             await entry.leadership.resign()
             await trio.sleep_forever()
+        with trio.move_on_after(http_server.CLOSE_TIMEOUT_S):
+            await entry.leadership.leave()
         stopped.set()
         await trio.sleep(http_server.CLOSE_TIMEOUT_S)
         nursery.cancel_scope.cancel()
--- a/pimentobridge/daemons/leadership.py
+++ b/pimentobridge/daemons/leadership.py
@@ -22,6 +22,8 @@
 RENEWALS_PER_LEASE = 5
 RENEWAL_TIMEOUT_S = 0.6
 ELECTION_POLL_S = 0.1
+# A resigned entry leaves a vacant key to the others for this long.
+RELUCTANCE_S = 0.5
 # Pause before a candidacy per second of round trip to the store, so that the
 # entry nearest to the store tends to win.
 PAUSE_PER_ROUND_TRIP = 4.0
@@ -69,7 +71,9 @@
         self._lease = 0
         self._valid_until_s = 0.0
         self.token: int | None = None
-        self.resigned = False
+        self._reluctant = False
+        self._left = False
+        self._vacant_since_s: float | None = None
         self.changed = trio.Event()
 
     @property
@@ -93,13 +97,25 @@
         while True:
             if self.token is not None:
                 await self._keep()
-            elif not self.resigned:
+            elif not self._left:
                 await self._compete()
             await trio.sleep(ELECTION_POLL_S)
 
     async def resign(self) -> None:
-        """Gives the key up, so that another entry takes over at once."""
-        self.resigned = True
+        """Gives the key up, so that another entry takes over at once.
+
+        If none does, this entry takes the key again: a late scheduler is better
+        than none while all entries are being restarted.
+        """
+        self._reluctant = True
+        await self._give_up()
+
+    async def leave(self) -> None:
+        """Gives the key up for good, before the process ends."""
+        self._left = True
+        await self._give_up()
+
+    async def _give_up(self) -> None:
         lease, self._lease = self._lease, 0
         self._depose("resigned")
         if lease:
@@ -116,7 +132,7 @@
         if item is None:
             round_trip_s = self._clock.monotonic() - asked_s
             await trio.sleep(round_trip_s * PAUSE_PER_ROUND_TRIP)
-            if self.holder is not None:
+            if self.holder is not None or self._should_hold_back():
                 return
             await self._take(kv_store.ABSENT)
         elif item.value is not None and (
@@ -126,6 +142,15 @@
             # an earlier life of it.
             await self._take(item.revision)
 
+    def _should_hold_back(self) -> bool:
+        """Whether a resigned entry still leaves the key to the others."""
+        if not self._reluctant:
+            return False
+        now_s = self._clock.monotonic()
+        if self._vacant_since_s is None:
+            self._vacant_since_s = now_s
+        return now_s - self._vacant_since_s < RELUCTANCE_S
+
     async def _take(self, revision: int) -> None:
         """Writes the key over a revision and begins a term."""
         sent_s = self._clock.monotonic()
@@ -138,11 +163,12 @@
             puts=[kv_store.Put(self._key, self._value, lease)],
         )
         token = await self._token_of(written)
-        if token is None or self.resigned:
+        if token is None or self._left:
             await self._store.end_lease(lease)
             return
         self._lease = lease
         self._valid_until_s = sent_s + lifetime_s
+        self._vacant_since_s = None
         self.token = token
         logs.event("scheduling", token=token)
         self._notify()
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -139,6 +139,14 @@
         await trio.sleep(1.0)
 
 
+async def _terminate_all_entries(world: world_lib.World, fault: Fault) -> None:
+    del fault
+    async with trio.open_nursery() as nursery:
+        for host in world.entries:
+            nursery.start_soon(host.terminate)
+            await trio.sleep(1.0)
+
+
 async def _kill_scheduler(world: world_lib.World, fault: Fault) -> None:
     del fault
     for host in world.entries:
@@ -231,6 +239,7 @@
     "store forgets its history": _store_forgets,
     "orders late": _orders_late,
     "entries killed": _kill_entries,
+    "all entries terminated": _terminate_all_entries,
     "entries terminated": _terminate_entries,
     "scheduler killed": _kill_scheduler,
     "agents killed": _kill_agents,
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -41,6 +41,7 @@
 PRIORITIES = (0, 1, 2)
 MAX_ATTEMPTS = 3
 START_UP_S = 0.6
+DRAIN_S = 2.5
 
 
 class EntryHost:
@@ -91,7 +92,9 @@
         if self.entry is not None:
             self.entry.draining = True
             await self.entry.leadership.resign()
-            await trio.sleep(0.5)
+            await trio.sleep(DRAIN_S)
+            if self.entry is not None:
+                await self.entry.leadership.leave()
         self.kill()
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
+import trio
 
+from pimentobridge.bench import harness
 from pimentobridge.core.scheduling import engine
+from pimentobridge.daemons import leadership
 from pimentobridge.daemons import recorder
 from pimentobridge.lab import day
 from pimentobridge.lab import faults
+from pimentobridge.lab import world as world_lib
 from pimentobridge.testing import platform_runner
 
 SEEDS = range(1, 9)
@@ -48,6 +54,37 @@
     assert day.play(20, [fault]).findings == []
 
 
+def test_jobs_start_while_all_entries_are_being_restarted() -> None:
+    # All had resigned for 3.1 s: nobody scheduled until the first was back.
+    vacant_s = 0.0
+
+    async def script(world: world_lib.World) -> None:
+        nonlocal vacant_s
+        plan = faults.Fault("all entries terminated", 0.0, 0.0)
+        world.nursery.start_soon(faults.inject, world, plan)
+        for _ in range(60):
+            await trio.sleep(0.1)
+            acting = any(
+                host.entry is not None and host.entry.leadership.acting
+                for host in world.entries
+            )
+            vacant_s += 0.0 if acting else 0.1
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            world = world_lib.World(
+                rng=random.Random(1), nursery=nursery, entries=3, workers=1
+            )
+            world.put_configuration()
+            world.start()
+            await trio.sleep(3.0)
+            await script(world)
+            nursery.cancel_scope.cancel()
+
+    harness.run_virtual(main)
+    assert vacant_s < leadership.LEASE_S
+
+
 def _rules(findings: list[str]) -> set[str]:
     return {finding.split(" ")[0] for finding in findings}
 
