The test of restarted entries lets all resign within 0.6 s

With 0.2 s between them it fails without the change (vacancy over the lease's 2 s) and passes with it.

--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -144,7 +144,7 @@
     async with trio.open_nursery() as nursery:
         for host in world.entries:
             nursery.start_soon(host.terminate)
-            await trio.sleep(1.0)
+            await trio.sleep(0.2)
 
 
 async def _kill_scheduler(world: world_lib.World, fault: Fault) -> None:
