--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -114,6 +114,7 @@
     Attributes:
         refused: runs that the worker refused and never will start.
         sealed: runs whose stop was answered, and that don't run.
+        gone: the life has ended, and all that ran in it.
     """
 
     life: WorkerLife
@@ -121,3 +122,4 @@
     ended: tuple[EndedRun, ...] = ()
     refused: tuple[RunKey, ...] = ()
     sealed: tuple[RunKey, ...] = ()
+    gone: bool = False
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -158,27 +158,46 @@
 
     # Workers.
 
-    def observe(
-        self, agent: types.Address, seen: runs.Observation
-    ) -> fleet.TrackedWorker:
-        """Takes in an agent's report and returns its worker."""
+    def observe(self, agent: types.Address, seen: runs.Observation) -> None:
+        """Takes in an agent's report of its worker."""
         key = seen.life.key
         earlier = self.life_by_agent.get(agent)
         if earlier is not None and earlier.born_ms > key.born_ms:
-            return self._worker(earlier)
+            return
         self._bury_earlier_lives(agent, key)
+        if seen.gone and key not in self.workers_by_life:
+            return
         worker = self._worker(key)
-        if worker.life is None or worker.life != seen.life:
+        self._take_life(worker, agent, seen.life)
+        self._take_lists(worker, seen)
+        if seen.gone:
+            self._bury(key, "left")
+        elif seen.life.draining:
+            self._evacuate(worker)
+
+    def _take_life(
+        self,
+        worker: fleet.TrackedWorker,
+        agent: types.Address,
+        life: runs.WorkerLife,
+    ) -> None:
+        if worker.life is None or worker.life != life:
             self._log(
                 "worker known",
-                worker=key.worker,
-                born_ms=key.born_ms,
-                draining=seen.life.draining,
+                worker=life.key.worker,
+                born_ms=life.key.born_ms,
+                draining=life.draining,
+                leaves_in_s=life.leaves_in_s,
             )
             self.needs_pass = True
-        self.life_by_agent[agent] = key
-        worker.agent, worker.life = agent, seen.life
+        self.life_by_agent[agent] = life.key
+        worker.agent, worker.life = agent, life
         worker.heard_s = self._clock.monotonic()
+
+    def _take_lists(
+        self, worker: fleet.TrackedWorker, seen: runs.Observation
+    ) -> None:
+        # Ends go first: a run that has ended is refused and sealed, too.
         for end in sorted(seen.ended, key=lambda end: end.number):
             if end.number > worker.processed:
                 worker.processed = end.number
@@ -193,7 +212,23 @@
             if sealed not in ended and sealed not in worker.listed:
                 self._resolve(worker, sealed, "stopped before it ran")
         worker.advance_seen()
-        return worker
+
+    def _evacuate(self, worker: fleet.TrackedWorker) -> None:
+        """Stops what saves its work, so that it goes on elsewhere.
+
+        What doesn't save may still end by itself before the worker leaves.
+        """
+        for entry in worker.entries_by_key.values():
+            if entry.step.checkpointing and entry.is_current and not entry.stop:
+                entry.stop = True
+                self._log(
+                    "run moved",
+                    job=entry.tracked.id,
+                    task=str(entry.name),
+                    run=entry.run,
+                    worker=worker.key.worker,
+                    leaves_in_s=worker.life and worker.life.leaves_in_s,
+                )
 
     def _bury_earlier_lives(
         self, agent: types.Address, key: runs.LifeKey
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -151,12 +151,26 @@
             return
         link.echo_s = report.sent_s
         link.heard_s = self._clock.monotonic()
+        self._reset_if_unheard(report, link)
         if report.worker is not None and report.token == self.token:
             self.engine.observe(report.agent, report.worker)
         self._send_orders(report.agent, link)
         if self.engine.needs_pass or self.engine.dirty_by_id:
             self._wake.set()
 
+    def _reset_if_unheard(
+        self, report: control.WorkerReport, link: AgentLink
+    ) -> None:
+        """Replaces our connection when the agent's reports get no answer."""
+        now_s = self._clock.monotonic()
+        if (
+            report.sent_s - report.answered_s > RESET_SILENCE_S
+            and now_s - link.reset_s > RESET_SILENCE_S
+        ):
+            link.reset_s = now_s
+            self._endpoint.reset(report.agent)
+            logs.event("connection replaced", agent=report.agent)
+
     def gauges(self) -> dict[str, float]:
         """Returns what the metrics show of the schedule."""
         engine = self.engine
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -79,6 +79,8 @@
         self._clock_s = 0.0
         self._clock_read_s = 0.0
         self._looked = False
+        self._left = False
+        self._gone = False
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -127,6 +129,11 @@
             self._wake_look.set()
             self._wake_report.set()
 
+    def on_deregistered(self, worker: str) -> None:
+        """Takes the worker's last words: it ends now."""
+        if self._life is not None and self._life.key.worker == worker:
+            self._left = True
+
     # Orders.
 
     async def _receive(self) -> None:
@@ -344,6 +351,9 @@
             return False
         if isinstance(looked, runner_lib.LookFailure):
             logs.event("look failed", worker=life.worker, why=looked.value)
+            if self._left and looked is runner_lib.LookFailure.NOT_THERE:
+                self._gone = True
+                self._wake_report.set()
             return False
         if looked.born_ms not in (0, life.born_ms):
             logs.event(
@@ -387,12 +397,14 @@
                 ended=self._ended,
                 refused=tuple(self._refused),
                 sealed=tuple(self._sealed),
+                gone=self._gone,
             )
         now_s = self._clock.monotonic()
         report = control.WorkerReport(
             agent=self._endpoint.address,
             token=self._token,
             sent_s=now_s,
+            answered_s=self._echo_s,
             worker=seen,
         )
         # Orders that echo nothing new mean that the reports don't arrive.
--- a/pimentobridge/daemons/worker_api.py
+++ b/pimentobridge/daemons/worker_api.py
@@ -50,5 +50,6 @@
             return 200
         if call == DEREGISTER:
             logs.event("worker deregistered", worker=worker)
+            self._agent.on_deregistered(worker)
             return 200
         return 404
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -173,6 +173,12 @@
         world.workers[number].crash_runner()
 
 
+async def _drain_runners(world: world_lib.World, fault: Fault) -> None:
+    async with trio.open_nursery() as nursery:
+        for number in fault.targets:
+            nursery.start_soon(world.workers[number].drain_runner)
+
+
 async def _crash_runners(world: world_lib.World, fault: Fault) -> None:
     for number in fault.targets:
         world.workers[number].crash_runner()
@@ -246,6 +252,7 @@
     "all killed": _kill_all,
     "workers lose power": _power_off_workers,
     "runners crash": _crash_runners,
+    "runners drain": _drain_runners,
     "agents cut off": _cut_agents,
     "entries cut off": _cut_entries,
     "connections silent": _silence_connections,
--- a/pimentobridge/lab/wires.py
+++ b/pimentobridge/lab/wires.py
@@ -16,7 +16,8 @@
     import random
 
     Handler = Callable[
-        [str, str, object, dict[str, str]], Awaitable[http_client.Answer]
+        [str, str, object, dict[str, str]],
+        Awaitable[http_client.Answer | http_client.Failure],
     ]
 
 LATE_MIN_S = 1.0
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -42,6 +42,7 @@
 MAX_ATTEMPTS = 3
 START_UP_S = 0.6
 DRAIN_S = 2.5
+DRAIN_RUNNER_S = 4.0
 
 
 class EntryHost:
@@ -160,7 +161,7 @@
                     "service": SERVICE,
                     "address": self.node,
                     "zone": "north-a",
-                    "state": "ready",
+                    "state": "draining" if runner.draining else "ready",
                     "capacity": {
                         "cpu": CAPACITY.cpu_millicores,
                         "memMb": CAPACITY.memory_mib,
@@ -182,6 +183,18 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    async def drain_runner(self) -> None:
+        """Has the worker leave as planned; another comes on the machine."""
+        leaving = self.runner
+        leaving.draining = True
+        await trio.sleep(DRAIN_RUNNER_S)
+        if self.agent is not None:
+            self.agent.on_deregistered(leaving.worker)
+        leaving.crash()
+        await trio.sleep(START_UP_S)
+        if self.runner is leaving:
+            self.runner = self._new_runner()
+
     def crash_runner(self) -> None:
         """Ends the worker's life; a new one begins on the machine."""
         self.runner.crash()
@@ -253,12 +266,14 @@
 
         async def handle(
             method: str, path: str, body: object, headers: dict[str, str]
-        ) -> http_client.Answer:
+        ) -> http_client.Answer | http_client.Failure:
             del method
             assert isinstance(body, dict)
             # The encoding's own types, as they would arrive by HTTP.
             decoded = json.loads(json.dumps(body))
             expected = headers.get("Expected-Instance", "")
+            if not host.runner.up:
+                return http_client.Failure.NOT_SENT
             return await host.runner.handle(path, decoded, expected)
 
         return self._client(
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -61,6 +61,7 @@
 
     OUTDATED_TOKEN = "outdated-token"
     OTHER_LIFE = "other-life"
+    NOT_THERE = "not-there"
     UNKNOWN = "unknown"
 
 
@@ -167,6 +168,8 @@
         answer = await self._call(
             worker, "/v1/hold", body, timeout_s=wait_s + LOOK_SLACK_S
         )
+        if answer is http_client.Failure.NOT_SENT:
+            return LookFailure.NOT_THERE
         if isinstance(answer, http_client.Failure):
             return LookFailure.UNKNOWN
         if answer.status == 421:
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -20,12 +20,14 @@
         agent: address to send orders to.
         token: highest fencing token that the agent has obeyed.
         sent_s: boot-time clock of the agent's machine, in seconds.
+        answered_s: `sent_s` of the newest report that was answered.
         worker: None until the worker has announced itself.
     """
 
     agent: types.Address
     token: int
     sent_s: float
+    answered_s: float
     worker: runs.Observation | None = None
 
 
--- a/pimentobridge/testing/platform_runner.py
+++ b/pimentobridge/testing/platform_runner.py
@@ -147,6 +147,7 @@
         self._lease_until_s = 0.0
         self._token = 0
         self.up = True
+        self.draining = False
         self.failing = False
         self.hanging = False
         self._stepped_s = pool.clock()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -48,6 +48,27 @@
     assert day.play(28, [fault]).findings == []
 
 
+def test_a_scheduler_replaces_its_silent_connection() -> None:
+    # Reports still came, so that the scheduler took its orders for delivered.
+    async def main() -> float:
+        async with trio.open_nursery() as nursery:
+            world = world_lib.World(
+                rng=random.Random(1), nursery=nursery, entries=1, workers=1
+            )
+            world.put_configuration()
+            world.start()
+            await trio.sleep(5.0)
+            host = world.workers[0]
+            world.network.silence(world.entries[0].address, host.address)
+            await trio.sleep(6.0)
+            assert host.agent is not None
+            age_s = host.agent.gauges()["orders_age_seconds"]
+            nursery.cancel_scope.cancel()
+        return age_s
+
+    assert harness.run_virtual(main) < engine.ORDER_VALIDITY_S
+
+
 def test_an_ejected_worker_comes_back_without_another_event() -> None:
     # The end of an ejection is no event: nothing asked for a pass after it.
     fault = faults.Fault("orders late", 20.38, 7.79, (0, 2))
