--- a/pimentobridge/cli/explain.py
+++ b/pimentobridge/cli/explain.py
@@ -15,6 +15,8 @@
 
 EXIT_OK = 0
 EXIT_NOTHING = 1
+# An outage is noticed some seconds before the first request that it hits.
+CONTEXT_BEFORE_S = 10.0
 # Fields that every line has; the rest decided the line's event.
 _COMMON_FIELDS = ("time", "level", "node", "message")
 # Events that bear on every job, whatever it is.
@@ -62,7 +64,8 @@
         return EXIT_NOTHING
     chosen = about
     if options.context:
-        first, last = about[0]["time"], about[-1]["time"]
+        first = about[0]["time"] - CONTEXT_BEFORE_S
+        last = about[-1]["time"]
         chosen = [
             event
             for event in events
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -356,7 +356,7 @@
     def _finish_if_done(self, tracked: ledger.TrackedJob, number: int) -> None:
         progress = tracked.progress
         occurrence = progress.occurrences_by_number.get(number)
-        if occurrence is None or not occurrence.done:
+        if progress.state.ended or occurrence is None or not occurrence.done:
             return
         if tracked.job.occurrences:
             del progress.occurrences_by_number[number]
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -149,6 +149,8 @@
             job=job_id,
             queue=queue.name,
             account=account,
+            steps=len(decoded.ok_value.steps),
+            store_away=self._entry.store_away,
             outcome=written.value,
         )
         if written is control.Written.WRITTEN:
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -109,6 +109,11 @@
             and self.mirror.loaded
         )
 
+    @property
+    def store_away(self) -> bool:
+        """Whether this entry doesn't reach the store."""
+        return self._store.away
+
     def entries(self) -> tuple[types.Address, ...]:
         """Returns the addresses of all announced entries."""
         return tuple(
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -341,6 +341,30 @@
     assert tracked.state is progress_lib.JobState.COMPLETED
 
 
+def test_a_gang_ends_its_job_once() -> None:
+    bench = Bench(1)
+    gang = job("a" * 16, model.Step(2, GPU, 5.0, gang=True))
+    keys = [key for _, key in started(bench.submit(gang))]
+    bench.lines.clear()
+    bench.observe(
+        0,
+        ended=tuple(
+            runs.EndedRun(number + 1, key, runs.EndCause.DONE, "")
+            for number, key in enumerate(keys)
+        ),
+    )
+    assert bench.lines.count("job ended") == 1
+
+
+def test_an_end_after_the_cancel_leaves_the_job_cancelled() -> None:
+    bench = Bench(1)
+    ((_, key),) = started(bench.submit(job()))
+    bench.engine.put_job(msgspec.structs.replace(job(), cancelled=True))
+    bench.observe(0, ended=ended(key, runs.EndCause.DONE))
+    tracked = bench.engine.jobs_by_id[types.JobId("a" * 16)]
+    assert tracked.state is progress_lib.JobState.CANCELLED
+
+
 def test_a_cancelled_job_is_stopped_and_starts_nothing() -> None:
     bench = Bench(1)
     two = job("a" * 16, model.Step(9, GPU, 5.0))
