--- a/pimentobridge/platform/kv_store.py
+++ b/pimentobridge/platform/kv_store.py
@@ -108,7 +108,7 @@
         if answer.status == 404:
             return result.Ok(None)
         item = _item(answer.body)
-        return result.Err(StoreError.REFUSED) if not item else result.Ok(item)
+        return result.Ok(item) if item else result.Err(StoreError.UNKNOWN)
 
     async def page(
         self, prefix: str, *, after: str = ""
@@ -119,7 +119,7 @@
         answer = await self._read(f"/v1/kv-range?{query}", READ_TIMEOUT_S)
         if isinstance(answer, StoreError):
             return result.Err(answer)
-        return result.Ok(_page(answer.body, "items"))
+        return _page(answer.body, "items")
 
     async def watch(
         self, prefix: str, *, after_revision: int, wait_s: float
@@ -142,7 +142,7 @@
             return result.Err(answer)
         if answer.status == 410:
             return result.Err(StoreError.HISTORY_LOST)
-        return result.Ok(_page(answer.body, "events"))
+        return _page(answer.body, "events")
 
     async def transact(
         self,
@@ -177,12 +177,12 @@
         if isinstance(answer, http_client.Failure):
             return result.Err(_error_of(answer))
         if answer.status == 200:
-            return result.Ok(int(answer.body.get("revision", 0)))
+            revision = answer.body.get("revision")
+            if not isinstance(revision, int):
+                return result.Err(StoreError.UNKNOWN)
+            return result.Ok(revision)
         if answer.status == 412:
-            items = [_item(row) for row in answer.body.get("items", [])]
-            return result.Ok(
-                Conflict({item.key: item for item in items if item})
-            )
+            return _conflict(answer.body)
         if answer.status == 404:
             return result.Err(StoreError.LEASE_ENDED)
         return result.Err(_error_of_status(answer.status))
@@ -201,9 +201,12 @@
             return result.Err(_error_of(answer))
         if answer.status != 200:
             return result.Err(_error_of_status(answer.status))
-        return result.Ok(
-            (int(answer.body["lease"]), float(answer.body["ttlMs"]) / 1000)
-        )
+        lease, lifetime_ms = answer.body.get("lease"), answer.body.get("ttlMs")
+        if not isinstance(lease, int) or not isinstance(
+            lifetime_ms, int | float
+        ):
+            return result.Err(StoreError.UNKNOWN)
+        return result.Ok((lease, lifetime_ms / 1000))
 
     async def renew_lease(
         self, lease: int, *, timeout_s: float
@@ -285,15 +288,30 @@
     return row | ({"lease": put.lease} if put.lease else {})
 
 
-def _page(body: dict[str, Any], field: str) -> Page:
-    items = [_item(row) for row in body.get(field, [])]
-    return Page(
-        items=[item for item in items if item],
-        store_revision=int(body.get("storeRevision", 0)),
-        has_more=bool(body.get("hasMore", False)),
+def _page(body: dict[str, Any], field: str) -> result.Result[Page, StoreError]:
+    rows, revision = body.get(field, []), body.get("storeRevision")
+    if not isinstance(rows, list) or not isinstance(revision, int):
+        return result.Err(StoreError.UNKNOWN)
+    items = [_item(row) for row in rows]
+    return result.Ok(
+        Page(
+            items=[item for item in items if item],
+            store_revision=revision,
+            has_more=bool(body.get("hasMore", False)),
+        )
     )
 
 
+def _conflict(
+    body: dict[str, Any],
+) -> result.Result[int | Conflict, StoreError]:
+    rows = body.get("items", [])
+    if not isinstance(rows, list):
+        return result.Err(StoreError.UNKNOWN)
+    items = [_item(row) for row in rows]
+    return result.Ok(Conflict({item.key: item for item in items if item}))
+
+
 def _item(row: Any) -> Item | None:
     """Returns an item, or None for one that can't be read."""
     try:
--- /dev/null
+++ b/tests/test_platform_decoding.py
@@ -0,0 +1,173 @@
+"""Every decoder of outside bytes: no crash and no untyped error."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+import result
+import trio
+
+from pimentobridge.core import errors
+from pimentobridge.core import types
+from pimentobridge.core.jobs import configuration
+from pimentobridge.core.jobs import model
+from pimentobridge.platform import boot_settings
+from pimentobridge.platform import heartbeats
+from pimentobridge.platform import http_client
+from pimentobridge.platform import kv_store
+from pimentobridge.platform import operator_configuration
+from pimentobridge.platform import runner
+from pimentobridge.platform import submissions
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=4
+        )
+    ),
+    max_leaves=12,
+)
+fuzz = settings(derandomize=True, max_examples=150, deadline=None)
+
+QUEUE = configuration.Queue("q", "h", "/", "s", 1, 2, 1.0, 1.0, 3.0)
+BEAT = {
+    "service": "s",
+    "address": "a:1",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 1, "memMb": 1, "gpu": 1},
+    "labels": ["a", "rack"],
+    "sequence": 1,
+    "born": 1,
+    "clockMs": 2,
+}
+JOB = {"spec": "", "steps": [{"count": 1, "cpu": 1}]}
+DOCUMENT = {
+    "version": 1,
+    "routes": [{"name": "r", "hostname": "h", "prefix": "/", "service": "s"}],
+    "services": [{"name": "s"}],
+    "tenants": [{"name": "t", "apiKeys": ["k"], "guaranteed": {"gpu": 1}}],
+}
+LOOK = {
+    "clockMs": 1,
+    "born": 1,
+    "running": [["a.0.0.0", 1, "", 5]],
+    "finished": [[1, "a.0.0.0", 1, "done", ""]],
+}
+
+
+def mutated(base: dict[str, Any]) -> strategies.SearchStrategy[bytes]:
+    """Bodies in which one field has another value, or random bytes."""
+
+    def change(field: str, value: Any) -> bytes:
+        return json.dumps({**base, field: value}).encode()
+
+    return strategies.binary(max_size=60) | strategies.builds(
+        change, strategies.sampled_from(sorted(base)), JSON
+    )
+
+
+@fuzz
+@given(body=mutated(BEAT))
+def test_heartbeats(body: bytes) -> None:
+    beat = heartbeats.decode("w", body)
+    assert beat is None or beat.life.key.worker == "w"
+
+
+@fuzz
+@given(body=mutated(JOB))
+def test_submissions(body: bytes) -> None:
+    decoded = submissions.decode(
+        body,
+        job=types.JobId("a" * 16),
+        queue=QUEUE,
+        account=types.AccountName("t"),
+        now_ms=1,
+    )
+    if isinstance(decoded, result.Err):
+        assert decoded.err_value.kind is errors.ErrorKind.INVALID_REQUEST
+        assert decoded.err_value.remedy
+
+
+@fuzz
+@given(body=mutated(DOCUMENT))
+def test_configurations(body: bytes) -> None:
+    document = operator_configuration.decode(body)
+    assert document is None or document.queue_for("x", "/y") is None
+
+
+@fuzz
+@given(text=strategies.text(max_size=200))
+def test_settings(text: str) -> None:
+    with pytest.raises(errors.ProblemError):
+        boot_settings.parse(text)
+
+
+class _FixedClient:
+    """Answers every call with the same body."""
+
+    def __init__(self, status: int, body: dict[str, Any]) -> None:
+        self._answer = http_client.Answer(status, body)
+
+    async def call(
+        self, method: str, path: str, **_: Any
+    ) -> http_client.Answer | http_client.Failure:
+        return self._answer
+
+
+@fuzz
+@given(field=strategies.sampled_from(sorted(LOOK)), value=JSON)
+def test_lists_of_runners(field: str, value: Any) -> None:
+    client = _FixedClient(200, {**LOOK, field: value})
+    looked = trio.run(_look, runner.Runner(client))
+    assert isinstance(looked, (runner.Look, runner.LookFailure))
+
+
+async def _look(of: runner.Runner) -> runner.Look | runner.LookFailure:
+    return await of.look(
+        types.WorkerId("w"), token=1, seen=0, lease_until_s=None
+    )
+
+
+@fuzz
+@given(
+    status=strategies.sampled_from([200, 404, 410, 412, 429, 503]),
+    field=strategies.sampled_from(
+        ["items", "events", "storeRevision", "hasMore", "revision", "lease"]
+    ),
+    value=JSON,
+)
+def test_answers_of_the_store(status: int, field: str, value: Any) -> None:
+    store = kv_store.KvStore(_FixedClient(status, {field: value}))
+    for outcome in trio.run(_calls, store):
+        assert isinstance(outcome, (result.Ok, result.Err))
+
+
+async def _calls(store: kv_store.KvStore) -> list[object]:
+    return [
+        await store.get("k"),
+        await store.page("p"),
+        await store.watch("p", after_revision=1, wait_s=0.1),
+        await store.transact(expected={"k": 1}, puts=[]),
+        await store.grant_lease(2.0),
+        await store.renew_lease(1, timeout_s=1.0),
+        await store.end_lease(1),
+    ]
+
+
+def test_tasks_have_parsable_names() -> None:
+    name = model.TaskName(types.JobId("a" * 16), 1, 2, 3)
+    assert model.TaskName.parse(str(name)) == name
+    with pytest.raises(ValueError, match="expected 4 parts"):
+        model.TaskName.parse("a.b")
