--- a/pimentobridge/platform/http_store.py
+++ b/pimentobridge/platform/http_store.py
@@ -1,38 +1,41 @@
-"""Client of the store over HTTP; its wire format stands in this module only.
-
-`GET /v1/kv/KEY` answers 200 with the value and the header `Revision`, or 404.
-`PUT /v1/kv/KEY` with the header `If-Revision` (0: must not exist) and, for a
-lease, `Lease-Seconds`, answers 200 with `Revision`, or 409. `GET` with
-`after=REVISION&timeout_s=SECONDS` waits for a newer revision and answers 304
-when none came.
-"""
+"""One-key calls of the request path, made on the platform's store."""
 
 from __future__ import annotations
 
-import urllib.parse
-
-import httpcore
 import result
-import trio
 
+from pimentobridge.platform import http_client
+from pimentobridge.platform import kv_store
 from pimentobridge.platform import store
 
-CALL_TIMEOUT_S = 2.0
+_ERROR_BY_CAUSE = {
+    kv_store.StoreError.REFUSED: store.StoreError.UNAVAILABLE,
+    kv_store.StoreError.UNKNOWN: store.StoreError.UNAVAILABLE,
+    kv_store.StoreError.HISTORY_LOST: store.StoreError.UNAVAILABLE,
+    kv_store.StoreError.LEASE_ENDED: store.StoreError.UNAVAILABLE,
+}
 
 
 class HttpStore:
     """The platform's store behind a base URL."""
 
     def __init__(self, base_url: str) -> None:
-        self._base_url = base_url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(max_connections=8)
-        self.calls = 0
+        address = base_url.removeprefix("http://").rstrip("/")
+        self._store = kv_store.KvStore(http_client.HttpClient(address))
+
+    @property
+    def calls(self) -> int:
+        """How many calls were made."""
+        return self._store.calls
 
     async def get(
         self, key: str
     ) -> result.Result[store.Entry | None, store.StoreError]:
         """Returns the entry at `key`, or None if there is none."""
-        return await self._read(key, "", CALL_TIMEOUT_S)
+        found = await self._store.get(key)
+        if isinstance(found, result.Err):
+            return result.Err(_ERROR_BY_CAUSE[found.err_value])
+        return result.Ok(_entry(found.ok_value))
 
     async def compare_and_swap(
         self,
@@ -45,62 +48,46 @@
         """Writes `value` if the key still has the expected revision."""
         if len(value) > store.MAX_VALUE_BYTES:
             return result.Err(store.StoreError.TOO_LARGE)
-        headers = {"If-Revision": str(expected_revision)}
+        lease = 0
         if lease_s is not None:
-            headers["Lease-Seconds"] = str(lease_s)
-        response = await self._call("PUT", key, "", headers, value)
-        if response is None or response.status >= 500:
-            return result.Err(store.StoreError.UNAVAILABLE)
-        if response.status == 409:
+            granted = await self._store.grant_lease(lease_s)
+            if isinstance(granted, result.Err):
+                return result.Err(_ERROR_BY_CAUSE[granted.err_value])
+            lease, _ = granted.ok_value
+        written = await self._store.transact(
+            expected={key: expected_revision},
+            puts=[kv_store.Put(key, value, lease)],
+        )
+        if isinstance(written, result.Err):
+            return result.Err(_ERROR_BY_CAUSE[written.err_value])
+        revision = written.ok_value
+        if isinstance(revision, kv_store.Conflict):
             return result.Err(store.StoreError.CONFLICT)
-        return result.Ok(store.Entry(key, value, _revision(response)))
+        return result.Ok(store.Entry(key, value, revision))
 
     async def watch(
         self, key: str, *, after_revision: int, timeout_s: float
     ) -> result.Result[store.Entry | None, store.StoreError]:
         """Returns the entry once it is newer, or None after the timeout."""
-        query = f"?after={after_revision}&timeout_s={timeout_s}"
-        return await self._read(key, query, timeout_s + CALL_TIMEOUT_S)
-
-    async def _read(
-        self, key: str, query: str, timeout_s: float
-    ) -> result.Result[store.Entry | None, store.StoreError]:
-        response = await self._call("GET", key, query, {}, b"", timeout_s)
-        if response is None or response.status >= 500:
-            return result.Err(store.StoreError.UNAVAILABLE)
-        if response.status in (304, 404):
+        changes = await self._store.watch(
+            key, after_revision=after_revision, wait_s=timeout_s
+        )
+        if isinstance(changes, result.Ok):
+            changed = any(item.key == key for item in changes.ok_value.items)
+        elif changes.err_value is kv_store.StoreError.HISTORY_LOST:
+            changed = True
+        else:
+            return result.Err(_ERROR_BY_CAUSE[changes.err_value])
+        if not changed:
             return result.Ok(None)
-        entry = store.Entry(key, response.content, _revision(response))
-        return result.Ok(entry)
-
-    async def _call(
-        self,
-        method: str,
-        key: str,
-        query: str,
-        headers: dict[str, str],
-        content: bytes,
-        timeout_s: float = CALL_TIMEOUT_S,
-    ) -> httpcore.Response | None:
-        self.calls += 1
-        url = f"{self._base_url}/v1/kv/{urllib.parse.quote(key)}{query}"
-        try:
-            with trio.fail_after(timeout_s):
-                return await self._pool.request(
-                    method,
-                    url,
-                    headers=list(headers.items()),
-                    content=content,
-                )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            trio.TooSlowError,
-        ):
-            return None
+        found = await self.get(key)
+        if isinstance(found, result.Ok) and found.ok_value is not None:
+            newer = found.ok_value.revision > after_revision
+            return found if newer else result.Ok(None)
+        return found
 
 
-def _revision(response: httpcore.Response) -> int:
-    headers = {name.lower(): value for name, value in response.headers}
-    return int(headers.get(b"revision", b"0"))
+def _entry(item: kv_store.Item | None) -> store.Entry | None:
+    if item is None or item.value is None:
+        return None
+    return store.Entry(item.key, item.value, item.revision)
--- a/pimentobridge/testing/demo.py
+++ b/pimentobridge/testing/demo.py
@@ -100,8 +100,10 @@
     async def _start(self) -> None:
         ports = _free_ports(2 + 3 * self._size.runners + 2 * ENTRIES)
         store_url = f"http://{HOST}:{ports.pop()}"
-        self._launch("store", _stand_in("store", store_url))
-        await self._wait_for(f"{store_url}/v1/kv/none", (404,))
+        listen = store_url.removeprefix("http://")
+        module = "pimentobridge.testing.platform_servers"
+        self._launch("store", ["-m", module, "--store", listen])
+        await self._wait_for(f"{store_url}/v1/kv-key?key=none", (404,))
         store = http_store.HttpStore(store_url)
         await store.compare_and_swap(
             configuration_watch.KEY,
@@ -129,7 +131,7 @@
         for index in range(self._size.runners):
             backend_url = f"http://{HOST}:{ports.pop()}"
             self._backend_urls.append(backend_url)
-            self._launch(f"backend-{index}", _stand_in("backend", backend_url))
+            self._launch(f"backend-{index}", _stand_in(backend_url))
             place = places[index % len(places)]
             self._launch_daemon(
                 f"agent-{index}",
@@ -409,9 +411,9 @@
         return not bad and accounted and answered > 0 and started
 
 
-def _stand_in(kind: str, url: str) -> list[str]:
+def _stand_in(url: str) -> list[str]:
     listen = url.removeprefix("http://")
-    return ["-m", "pimentobridge.testing.servers", kind, listen]
+    return ["-m", "pimentobridge.testing.servers", listen]
 
 
 def _free_ports(count: int) -> list[int]:
--- a/pimentobridge/testing/servers.py
+++ b/pimentobridge/testing/servers.py
@@ -1,6 +1,6 @@
-"""Store, backend server and worker stand-ins as processes, for the demo.
+"""Backend server and worker stand-ins as processes, for the demo.
 
-Run as `python -m pimentobridge.testing.servers store|backend HOST:PORT`.
+Run as `python -m pimentobridge.testing.servers HOST:PORT`.
 """
 
 from __future__ import annotations
@@ -12,85 +12,17 @@
 import hypercorn.config
 import hypercorn.trio
 import msgspec
-import result
 import trio
 
 from pimentobridge.core import request as request_lib
 from pimentobridge.core import types
 from pimentobridge.daemons import http
-from pimentobridge.platform import store as store_lib
 from pimentobridge.testing import backend as backend_lib
-from pimentobridge.testing import store as memory_store
 
 LOAD_S = 0.1
 STOP_S = 2.0
 
 
-class StoreApp:
-    """The store's wire format over the in-memory store."""
-
-    def __init__(self) -> None:
-        self._store = memory_store.MemoryStore(rng=random.Random(1))
-
-    async def __call__(
-        self, scope: http.Scope, receive: Any, send: Any
-    ) -> None:
-        """Serves one connection event of the ASGI server."""
-        if scope["type"] == "lifespan":
-            await http.accept_lifespan(receive, send)
-            return
-        body = await http.read_body(receive)
-        path = str(scope["path"])
-        if path == "/v1/faults":
-            self._store.set_down(body == b"down")
-            await http.send_response(send, http.Response(200, b""))
-            return
-        key = path.removeprefix("/v1/kv/")
-        if scope["method"] == "PUT":
-            response = await self._put(scope, key, body)
-        else:
-            response = await self._get(scope, key)
-        await http.send_response(send, response)
-
-    async def _put(
-        self, scope: http.Scope, key: str, body: bytes
-    ) -> http.Response:
-        lease = http.header(scope, "Lease-Seconds")
-        written = await self._store.compare_and_swap(
-            key,
-            body,
-            expected_revision=int(http.header(scope, "If-Revision")),
-            lease_s=float(lease) if lease else None,
-        )
-        if isinstance(written, result.Ok):
-            return _entry_response(written.ok_value)
-        conflict = written.err_value is store_lib.StoreError.CONFLICT
-        return http.Response(409 if conflict else 503, b"")
-
-    async def _get(self, scope: http.Scope, key: str) -> http.Response:
-        after = http.query_value(scope, "after")
-        if after:
-            found = await self._store.watch(
-                key,
-                after_revision=int(after),
-                timeout_s=float(http.query_value(scope, "timeout_s")),
-            )
-        else:
-            found = await self._store.get(key)
-        if isinstance(found, result.Err):
-            return http.Response(503, b"")
-        if found.ok_value is None:
-            return http.Response(304 if after else 404, b"")
-        return _entry_response(found.ok_value)
-
-
-def _entry_response(entry: store_lib.Entry) -> http.Response:
-    revision = (b"revision", str(entry.revision).encode())
-    return http.Response(
-        200, entry.value, "application/octet-stream", [revision]
-    )
-
-
 class EffectsLine(msgspec.Struct, frozen=True):
     """How often a key's work was started here."""
 
@@ -169,8 +101,8 @@
 
 def main(arguments: list[str]) -> None:
     """Serves one stand-in until it is killed."""
-    kind, listen = arguments
-    app: Any = StoreApp() if kind == "store" else BackendApp()
+    (listen,) = arguments
+    app: Any = BackendApp()
     config = hypercorn.config.Config()
     config.bind = [listen]
     config.accesslog = None
