--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -88,6 +88,8 @@
                 first_seen_s=self._clock.monotonic(),
                 revision=revision,
             )
+            if tracked.progress.state.ended:
+                tracked.ended_s = tracked.first_seen_s
             self.jobs_by_id[job.id] = tracked
             self._adopt_runs(tracked)
             self._log(
@@ -455,44 +457,3 @@
         tracked.revision = revision
         if tracked.recorded >= tracked.changes:
             self.dirty_by_id.pop(job, None)
-
-    def instructions(self, worker: fleet.TrackedWorker) -> runs.Instructions:
-        """Returns all that a worker is to do now."""
-        worker.advance_seen()
-        starts: list[runs.StartOrder] = []
-        stops: list[runs.RunKey] = []
-        for key, entry in worker.entries_by_key.items():
-            unit = entry.unit
-            if unit.status is progress_lib.UnitStatus.DONE:
-                continue
-            if entry.stop or not entry.is_current:
-                stops.append(key)
-            elif key not in worker.listed and (
-                entry.tracked.recorded >= entry.ordered_at_change
-            ):
-                starts.append(
-                    runs.StartOrder(
-                        key, entry.tracked.job.spec, unit.checkpoint
-                    )
-                )
-        stops.extend(
-            key
-            for key in worker.strangers_by_key
-            if not self._belongs_to_done_unit(key)
-        )
-        return runs.Instructions(
-            worker.key, worker.seen, tuple(starts), tuple(stops)
-        )
-
-    def _belongs_to_done_unit(self, key: runs.RunKey) -> bool:
-        try:
-            name = model.TaskName.parse(key.task)
-        except ValueError:
-            return False
-        tracked = self.jobs_by_id.get(name.job)
-        if tracked is None:
-            return False
-        if tracked.progress.state is progress_lib.JobState.COMPLETED:
-            return True
-        unit = tracked.progress.unit_of(name)
-        return unit is not None and unit.status is progress_lib.UnitStatus.DONE
--- /dev/null
+++ b/pimentobridge/core/scheduling/orders.py
@@ -0,0 +1,65 @@
+"""What the scheduler wants of each worker, worked out from its state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.core.jobs import runs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from pimentobridge.core import types
+    from pimentobridge.core.scheduling import fleet
+    from pimentobridge.core.scheduling import ledger
+
+
+def instructions_for(
+    worker: fleet.TrackedWorker,
+    jobs_by_id: Mapping[types.JobId, ledger.TrackedJob],
+) -> runs.Instructions:
+    """Returns all that a worker is to do now.
+
+    Starts that aren't recorded yet are held back.
+    """
+    worker.advance_seen()
+    starts: list[runs.StartOrder] = []
+    stops: list[runs.RunKey] = []
+    for key, entry in worker.entries_by_key.items():
+        unit = entry.unit
+        if unit.status is progress_lib.UnitStatus.DONE:
+            continue
+        if entry.stop or not entry.is_current:
+            stops.append(key)
+        elif key not in worker.listed and (
+            entry.tracked.recorded >= entry.ordered_at_change
+        ):
+            spec = entry.tracked.job.spec
+            starts.append(runs.StartOrder(key, spec, unit.checkpoint))
+    stops.extend(
+        key
+        for key in worker.strangers_by_key
+        if not _belongs_to_done_unit(key, jobs_by_id)
+    )
+    return runs.Instructions(
+        worker.key, worker.seen, tuple(starts), tuple(stops)
+    )
+
+
+def _belongs_to_done_unit(
+    key: runs.RunKey, jobs_by_id: Mapping[types.JobId, ledger.TrackedJob]
+) -> bool:
+    """Returns whether a run ends by itself, with the rest of its gang."""
+    try:
+        name = model.TaskName.parse(key.task)
+    except ValueError:
+        return False
+    tracked = jobs_by_id.get(name.job)
+    if tracked is None:
+        return False
+    if tracked.progress.state is progress_lib.JobState.COMPLETED:
+        return True
+    unit = tracked.progress.unit_of(name)
+    return unit is not None and unit.status is progress_lib.UnitStatus.DONE
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -31,7 +31,7 @@
 # Jobs whose writes may still take effect; the oldest are forgotten first.
 MAX_UNSETTLED = 10_000
 ANNOUNCE_PAUSE_S = 1.0
-CONFIGURATION_COPY_INTERVAL_S = 1.0
+CONFIGURATION_QUERY_INTERVAL_S = 0.5
 
 
 class JobEntry:
@@ -98,7 +98,7 @@
             nursery.start_soon(self._announce)
             nursery.start_soon(self._receive)
             nursery.start_soon(self._schedule)
-            nursery.start_soon(self._copy_configuration)
+            nursery.start_soon(self._ask_for_configuration)
 
     @property
     def ready(self) -> bool:
@@ -324,6 +324,8 @@
                 if waiting is not None:
                     self._relayed[message.sequence] = message.written
                     waiting.set()
+            elif isinstance(message, control.ConfigurationQuery):
+                self._on_configuration_query(envelope.sender, message)
             elif isinstance(message, control.ConfigurationCopy):
                 self.configuration_mirror.offer(
                     kv_store.Item(
@@ -395,25 +397,32 @@
         )
         if self.scheduler is not None:
             self.scheduler.set_configuration(document)
-        self._send_configuration()
 
-    async def _copy_configuration(self) -> None:
-        """Repeats the newest document for entries that the store refuses."""
+    async def _ask_for_configuration(self) -> None:
+        """Asks the other entries while the store refuses this one."""
         while True:
-            await trio.sleep(CONFIGURATION_COPY_INTERVAL_S)
-            age_s = self._clock.monotonic() - self.configuration_mirror.heard_s
-            if age_s < 2 * store_mirror.WATCH_WAIT_S:
-                self._send_configuration()
-
-    def _send_configuration(self) -> None:
+            await trio.sleep(CONFIGURATION_QUERY_INTERVAL_S)
+            if self.configuration_mirror.reachable:
+                continue
+            item = self._configuration_item
+            query = control.ConfigurationQuery(item.revision if item else 0)
+            for peer in self.entries():
+                if peer != self._endpoint.address:
+                    self._endpoint.send(peer, query)
+
+    def _on_configuration_query(
+        self, sender: types.Address, query: control.ConfigurationQuery
+    ) -> None:
         item = self._configuration_item
-        if item is None or item.value is None:
+        if (
+            item is None
+            or item.value is None
+            or item.revision <= query.revision
+        ):
             return
-        for peer in self.entries():
-            if peer != self._endpoint.address:
-                self._endpoint.send(
-                    peer, control.ConfigurationCopy(item.revision, item.value)
-                )
+        self._endpoint.send(
+            sender, control.ConfigurationCopy(item.revision, item.value)
+        )
 
     async def _announce(self) -> None:
         """Tells the other processes where this entry listens."""
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -10,11 +10,13 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine as engine_lib
+from pimentobridge.core.scheduling import orders
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import stalls
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import recorder as recorder_lib
+from pimentobridge.daemons import retention
 from pimentobridge.protocol import control
 
 if TYPE_CHECKING:
@@ -100,10 +102,19 @@
             on_deposed=lambda: leadership.depose("another entry holds the key"),
         )
 
+        self._retention = retention.Retention(
+            store=store,
+            engine=self.engine,
+            token=self.token,
+            status_s=settings.status_s,
+            clock=clock,
+        )
+
     async def run(self) -> None:
         """Schedules until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.recorder.run)
+            nursery.start_soon(self._retention.run)
             while True:
                 if self._leadership.acting:
                     self._step()
@@ -242,7 +253,9 @@
     ) -> runs.Instructions | None:
         life = self.engine.life_by_agent.get(agent)
         worker = self.engine.workers_by_life.get(life) if life else None
-        return self.engine.instructions(worker) if worker else None
+        if worker is None:
+            return None
+        return orders.instructions_for(worker, self.engine.jobs_by_id)
 
     def _send_orders(self, agent: types.Address, link: AgentLink) -> None:
         if not self._leadership.acting:
--- a/pimentobridge/daemons/store_mirror.py
+++ b/pimentobridge/daemons/store_mirror.py
@@ -49,6 +49,11 @@
         self.heard_s = clock.monotonic()
         self._reachable = True
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the newest call was answered."""
+        return self._reachable
+
     async def run(self) -> None:
         """Follows the store until cancelled."""
         while True:
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -84,6 +84,16 @@
     written: Written
 
 
+class ConfigurationQuery(messages.Message, frozen=True):
+    """Asks for a newer configuration, from an entry that the store refuses.
+
+    Attributes:
+        revision: the store's revision of the document at hand; 0 for none.
+    """
+
+    revision: int
+
+
 class ConfigurationCopy(messages.Message, frozen=True):
     """The newest configuration document that an entry has."""
 
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -155,6 +155,36 @@
     assert play(script) == [{"pending": 1}, {"pending": 1}]
 
 
+def test_ended_jobs_are_deleted_after_their_time() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        await caller.call("POST", f"/queue-1/{JOB}", GOOD)
+        await trio.sleep(122.0)
+        during, answer = await caller.call("GET", f"/queue-1/{JOB}")
+        await trio.sleep(80.0)
+        after, _ = await caller.call("GET", f"/queue-1/{JOB}", entry=1)
+        left = [key for key in world.store.keys if JOB in key]
+        return during, answer, after, left
+
+    assert play(script) == (200, {"state": "completed"}, 410, [])
+
+
+def test_an_entry_that_the_store_refuses_learns_the_configuration() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        world.store_faults.away_by_node[world.entries[0].node] = (
+            wires.Away.SILENT
+        )
+        await trio.sleep(3.0)
+        world.put_configuration()
+        await trio.sleep(2.0)
+        return [
+            host.entry.configuration.version == world.version
+            for host in world.entries
+            if host.entry is not None and host.entry.configuration is not None
+        ]
+
+    assert play(script) == [True, True]
+
+
 def test_a_caller_is_told_at_once_that_the_store_is_away() -> None:
     async def script(world: world_lib.World, caller: Caller) -> Any:
         world.store_faults.away = wires.Away.BUSY
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -14,6 +14,7 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine as engine_lib
 from pimentobridge.core.scheduling import health
+from pimentobridge.core.scheduling import orders as orders_lib
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import reclaim
 from pimentobridge.core.scheduling import stalls
@@ -105,7 +106,7 @@
         worker = self.engine.workers_by_life.get(key)
         if worker is None:
             return runs.Instructions(key)
-        return self.engine.instructions(worker)
+        return orders_lib.instructions_for(worker, self.engine.jobs_by_id)
 
     def observe_all(self) -> list[runs.Instructions]:
         return [self.observe(number) for number in range(len(self.lives))]
