--- a/pimentobridge/daemons/http.py
+++ b/pimentobridge/daemons/http.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 import urllib.parse
 
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
@@ -63,6 +68,26 @@
             return b"".join(parts)
 
 
+async def serve(
+    scope: Scope,
+    receive: Any,
+    send: Any,
+    respond: Callable[[Scope, Any], Awaitable[Response]],
+) -> None:
+    """Serves one connection event of the ASGI server.
+
+    Args:
+        scope: the event's scope.
+        receive: source of the request's body.
+        send: where the response goes.
+        respond: returns the response to a request.
+    """
+    if scope["type"] == "lifespan":
+        await accept_lifespan(receive, send)
+    elif scope["type"] == "http":
+        await send_response(send, await respond(scope, receive))
+
+
 async def send_response(send: Any, response: Response) -> None:
     """Sends a response."""
     headers = [
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -51,11 +51,11 @@
         self, scope: http.Scope, receive: Any, send: Any
     ) -> None:
         """Serves one request."""
-        if scope["type"] == "lifespan":
-            await http.accept_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
+        await http.serve(scope, receive, send, self._respond_measured)
+
+    async def _respond_measured(
+        self, scope: http.Scope, receive: Any
+    ) -> http.Response:
         began_s = self._clock.monotonic()
         response = await self._respond(scope, receive)
         if scope["path"] != READINESS_PATH:
@@ -64,7 +64,7 @@
                 response.status,
                 self._clock.monotonic() - began_s,
             )
-        await http.send_response(send, response)
+        return response
 
     async def _respond(self, scope: http.Scope, receive: Any) -> http.Response:
         path: str = scope["path"]
--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import uuid
 
@@ -14,6 +13,7 @@
 from pimentobridge.daemons import job_api
 from pimentobridge.daemons import job_entry
 from pimentobridge.daemons import logs
+from pimentobridge.daemons import platform_process
 from pimentobridge.platform import boot_settings
 from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
@@ -27,9 +27,7 @@
 
 def main() -> int:
     """Runs an entry until it is told to stop."""
-    settings = boot_settings.load(boot_settings.path_from_environment())
-    logs.set_up(settings.node)
-    return trio.run(_run, settings)
+    return platform_process.run(_run)
 
 
 async def _run(settings: boot_settings.ProcessSettings) -> int:
@@ -58,13 +56,7 @@
             stopped,
         )
         logs.event("started", role="entry", settings=str(settings))
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as received:
-            async for number in received:
-                if number != signal.SIGHUP:
-                    break
-                logs.event("reload", changed="nothing that is in use")
+        await platform_process.wait_for_stop()
         logs.event("draining")
         entry.draining = True
         drain_s = min(BALANCER_NOTICE_S, settings.grace_s - KILL_MARGIN_S)
--- a/pimentobridge/daemons/job_metrics.py
+++ b/pimentobridge/daemons/job_metrics.py
@@ -76,15 +76,10 @@
         self, scope: http.Scope, receive: Any, send: Any
     ) -> None:
         """Serves the metrics as an ASGI application."""
-        if scope["type"] == "lifespan":
-            await http.accept_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
+        await http.serve(scope, receive, send, self._respond)
+
+    async def _respond(self, scope: http.Scope, receive: Any) -> http.Response:
+        del receive
         if scope["path"] != PATH:
-            await http.send_response(send, http.Response(404, b""))
-            return
-        await http.send_response(
-            send,
-            http.Response(200, self.render(), content_type=http.METRICS_TYPE),
-        )
+            return http.Response(404, b"")
+        return http.Response(200, self.render(), content_type=http.METRICS_TYPE)
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -27,8 +27,6 @@
 ORDER_RETRY_PAUSE_S = 0.1
 # An unanswered report's age at which the agent asks every entry.
 SCHEDULER_SILENCE_S = 1.2
-# Share of the longest lease asked for; the worker shortens what is longer.
-LEASE_SHARE = 1.0
 
 
 class WorkerAgent:
@@ -314,8 +312,7 @@
     def _lease_until_s(self) -> float:
         """Returns the end of the longest lease, on the worker's clock."""
         passed_s = self._clock.monotonic() - self._clock_read_s
-        lease_s = self._settings.max_lease_s * LEASE_SHARE
-        return self._clock_s + passed_s + lease_s
+        return self._clock_s + passed_s + self._settings.max_lease_s
 
     async def _look_forever(self) -> None:
         while True:
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 
 import trio
@@ -13,6 +12,7 @@
 from pimentobridge.daemons import job_metrics
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import logs
+from pimentobridge.daemons import platform_process
 from pimentobridge.daemons import worker_agent
 from pimentobridge.daemons import worker_api
 from pimentobridge.platform import boot_settings
@@ -26,9 +26,7 @@
 
 def main() -> int:
     """Runs an agent until it is told to stop."""
-    settings = boot_settings.load(boot_settings.path_from_environment())
-    logs.set_up(settings.node)
-    return trio.run(_run, settings)
+    return platform_process.run(_run)
 
 
 async def _run(settings: boot_settings.ProcessSettings) -> int:
@@ -62,13 +60,7 @@
             stopped,
         )
         logs.event("started", role="agent", settings=str(settings))
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as received:
-            async for number in received:
-                if number != signal.SIGHUP:
-                    break
-                logs.event("reload", changed="nothing that is in use")
+        await platform_process.wait_for_stop()
         with trio.move_on_after(http_server.CLOSE_TIMEOUT_S):
             await agent.leave()
         logs.event("stopped")
--- a/pimentobridge/daemons/worker_api.py
+++ b/pimentobridge/daemons/worker_api.py
@@ -27,15 +27,13 @@
         self, scope: http.Scope, receive: Any, send: Any
     ) -> None:
         """Serves one request."""
-        if scope["type"] == "lifespan":
-            await http.accept_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
-        status = await self._serve(scope, receive)
-        await http.send_response(send, http.Response(status, b"{}"))
-
-    async def _serve(self, scope: http.Scope, receive: Any) -> int:
+        await http.serve(scope, receive, send, self._respond)
+
+    async def _respond(self, scope: http.Scope, receive: Any) -> http.Response:
+        status = await self._status_of(scope, receive)
+        return http.Response(status, b"{}")
+
+    async def _status_of(self, scope: http.Scope, receive: Any) -> int:
         path: str = scope["path"]
         if scope["method"] != "POST" or not path.startswith(INSTANCES_PREFIX):
             return 404
--- a/pimentobridge/platform/boot_settings.py
+++ b/pimentobridge/platform/boot_settings.py
@@ -32,13 +32,8 @@
         worker: address of this machine's worker; empty on an entry.
         max_lease_s: longest lease of what runs on a worker.
         grace_s: time between the request to stop and the kill.
-        drain_s: time for which a draining worker serves on.
-        stop_s: longest time that a stop takes.
         early_s: how much sooner than due an occurrence may start.
         status_s: time for which an ended job's state is kept.
-        remote_factor: slow-down of tasks that are away from their data.
-        min_store_lease_s: shortest lease that the store gives.
-        advice: address of the advice service; empty where there is none.
     """
 
     node: types.NodeId
@@ -54,13 +49,8 @@
     worker: str = ""
     max_lease_s: float = 6.0
     grace_s: float = 6.0
-    drain_s: float = 3.0
-    stop_s: float = 0.5
     early_s: float = 0.25
     status_s: float = 120.0
-    remote_factor: float = 3.0
-    min_store_lease_s: float = 1.0
-    advice: str = ""
 
 
 def path_from_environment() -> pathlib.Path:
@@ -136,11 +126,6 @@
         worker=values.get("app", ""),
         max_lease_s=number("bounds.maxHoldMs", 6.0, milli),
         grace_s=number("bounds.graceS", 6.0),
-        drain_s=number("bounds.drainMs", 3.0, milli),
-        stop_s=number("bounds.stopTimeoutMs", 0.5, milli),
         early_s=number("bounds.early_ms", 0.25, milli),
         status_s=number("bounds.status_s", 120.0),
-        remote_factor=number("bounds.remoteFactor", 3.0),
-        min_store_lease_s=number("platform.minTtlMs", 1.0, milli),
-        advice=values.get("advice", ""),
     )
