--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -224,6 +224,19 @@
     assert answer == {"state": "completed"}
 
 
+def test_an_unsettled_write_is_remembered_when_the_store_goes_away() -> None:
+    async def script(world: world_lib.World, caller: Caller) -> Any:
+        world.store_faults.late = 1.0
+        first, _ = await caller.call("POST", f"/queue-1/{JOB}", GOOD)
+        world.store_faults.late = 0.0
+        world.store_faults.away = wires.Away.BUSY
+        await trio.sleep(1.0)
+        second, _ = await caller.call("POST", f"/queue-1/{JOB}", GOOD)
+        return first, second
+
+    assert play(script) == (504, 504)
+
+
 def test_an_entry_that_the_store_refuses_submits_through_another() -> None:
     async def script(world: world_lib.World, caller: Caller) -> Any:
         refused = world.entries[0].node
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -48,8 +48,9 @@
     assert day.play(28, [fault]).findings == []
 
 
-def test_a_scheduler_replaces_its_silent_connection() -> None:
-    # Reports still came, so that the scheduler took its orders for delivered.
+def _orders_age_s(*, to_agent: bool) -> float:
+    """Returns the age of an agent's orders, 6 s after one way went silent."""
+
     async def main() -> float:
         async with trio.open_nursery() as nursery:
             world = world_lib.World(
@@ -58,15 +59,23 @@
             world.put_configuration()
             world.start()
             await trio.sleep(5.0)
-            host = world.workers[0]
-            world.network.silence(world.entries[0].address, host.address)
+            host, entry = world.workers[0], world.entries[0]
+            ends = (entry.address, host.address)
+            world.network.silence(*(ends if to_agent else reversed(ends)))
             await trio.sleep(6.0)
             assert host.agent is not None
             age_s = host.agent.gauges()["orders_age_seconds"]
             nursery.cancel_scope.cancel()
         return age_s
 
-    assert harness.run_virtual(main) < engine.ORDER_VALIDITY_S
+    age_s: float = harness.run_virtual(main)
+    return age_s
+
+
+@pytest.mark.parametrize("to_agent", [True, False])
+def test_either_end_replaces_its_silent_connection(to_agent: bool) -> None:
+    # The other way still works, so that its messages are no sign of delivery.
+    assert _orders_age_s(to_agent=to_agent) < engine.ORDER_VALIDITY_S
 
 
 def test_an_ejected_worker_comes_back_without_another_event() -> None:
