Queues with advice: tickets are asked for, recorded and sent with the starts

Ways weighed: every entry asks (answers would have to be shared); the agent asks (32 calls wait at the service, one at a time a machine, and the planner would learn of a no only by a refusal); the scheduler asks, one call at a time, for the workers that could be of use. Chosen: the last. A ticket goes into the placement's record, so that a successor can repeat a start. An answer holds for a worker's life; only tickets are asked for again. Before: no start on such a queue. Placement takes one Demand in place of four arguments, so that making room for an urgent job respects labels, the limit a worker and the policy, too; it didn't count the tasks that a worker already had of the step. Also: a task larger than any worker is logged once; before, nothing said so.

--- a/pimentobridge/core/jobs/configuration.py
+++ b/pimentobridge/core/jobs/configuration.py
@@ -7,6 +7,24 @@
 from pimentobridge.core import types
 
 
+class Advice(msgspec.Struct, frozen=True, array_like=True):
+    """A policy outside the system that says which workers may run a step.
+
+    Attributes:
+        decision_s: time that an answer takes.
+        each_s: further time for each worker asked about.
+        validity_s: how long a ticket holds.
+    """
+
+    decision_s: float
+    each_s: float
+    validity_s: float
+
+    def time_for(self, workers: int) -> float:
+        """Returns the seconds that an answer takes."""
+        return self.decision_s + workers * self.each_s
+
+
 class Queue(msgspec.Struct, frozen=True, array_like=True):
     """Where jobs of one kind are submitted.
 
@@ -20,6 +38,7 @@
         objective_s: seconds added to the objective.
         timeout_s: seconds a caller's request may take.
         anonymous: calls need no key.
+        advice: the policy that its steps are subject to, if any.
     """
 
     name: str
@@ -32,6 +51,7 @@
     objective_s: float
     timeout_s: float
     anonymous: bool = False
+    advice: Advice | None = None
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -88,11 +88,16 @@
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
-    """A recorded run to start."""
+    """A recorded run to start.
+
+    Attributes:
+        ticket: the policy's consent, where the queue needs it.
+    """
 
     key: RunKey
     spec: str
     checkpoint: str
+    ticket: str = ""
 
 
 class Instructions(msgspec.Struct, frozen=True, array_like=True):
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -12,6 +12,7 @@
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import ledger
 
@@ -62,6 +63,7 @@
         self.dirty_by_id: dict[types.JobId, ledger.TrackedJob] = {}
         self.configuration: configuration.JobConfiguration | None = None
         self.needs_pass = True
+        self.advice = advice_lib.AdviceBook()
         self._placeable: frozenset[runs.LifeKey] = frozenset()
 
     # Jobs.
@@ -108,6 +110,7 @@
         """Drops a job whose record was deleted."""
         self.jobs_by_id.pop(job, None)
         self.dirty_by_id.pop(job, None)
+        self.advice.forget_job(job)
 
     def _adopt_runs(self, tracked: ledger.TrackedJob) -> None:
         for number, step, unit in tracked.progress.units():
@@ -206,15 +209,25 @@
                 self._on_end(worker, end)
         self._take_running(worker, seen)
         for refused in seen.refused:
-            if refused in worker.entries_by_key:
-                worker.health.on_refused(self._clock.monotonic())
-            self._resolve(worker, refused, "refused")
+            self._take_refusal(worker, refused)
         ended = {end.key for end in seen.ended}
         for sealed in seen.sealed:
             if sealed not in ended and sealed not in worker.listed:
                 self._resolve(worker, sealed, "stopped before it ran")
         worker.advance_seen()
 
+    def _take_refusal(
+        self, worker: fleet.TrackedWorker, refused: runs.RunKey
+    ) -> None:
+        entry = worker.entries_by_key.get(refused)
+        if entry is not None:
+            worker.health.on_refused(self._clock.monotonic())
+            step = advice_lib.StepName(
+                entry.name.job, entry.name.occurrence, entry.name.step
+            )
+            self.advice.drop_ticket(step, worker.key)
+        self._resolve(worker, refused, "refused")
+
     def _evacuate(self, worker: fleet.TrackedWorker) -> None:
         """Stops what saves its work, so that it goes on elsewhere.
 
@@ -446,6 +459,30 @@
                 )
                 self.needs_pass = True
 
+    # The policy's advice.
+
+    def next_question(self) -> advice_lib.Question | None:
+        """Returns the next call to the policy's service, if any."""
+        now_s = self._clock.monotonic()
+        return self.advice.next_question(
+            (
+                worker
+                for worker in self.workers_by_life.values()
+                if worker.takes_tasks(now_s)
+            ),
+            now_s,
+        )
+
+    def on_advice(
+        self,
+        question: advice_lib.Question,
+        answer: advice_lib.Answer,
+        asked_s: float,
+    ) -> None:
+        """Takes the policy's answer to a question of `asked_s`."""
+        self.advice.on_answer(question, answer, asked_s)
+        self.needs_pass = True
+
     # Records and orders.
 
     def on_recorded(self, job: types.JobId, change: int, revision: int) -> None:
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -25,6 +25,7 @@
         ended_s: monotonic time at which it was seen to have ended.
         new_checkpoints: a checkpoint has come since the last change.
         changed_s: monotonic time of the last change.
+        misfit_noted: it was logged that a task fits no worker.
     """
 
     job: model.Job
@@ -36,6 +37,7 @@
     ended_s: float | None = None
     new_checkpoints: bool = False
     changed_s: float = 0.0
+    misfit_noted: bool = False
 
     @property
     def id(self) -> types.JobId:
--- a/pimentobridge/core/scheduling/orders.py
+++ b/pimentobridge/core/scheduling/orders.py
@@ -37,7 +37,8 @@
             entry.tracked.recorded >= entry.ordered_at_change
         ):
             spec = entry.tracked.job.spec
-            starts.append(runs.StartOrder(key, spec, unit.checkpoint))
+            ticket = unit.placements[entry.member].ticket
+            starts.append(runs.StartOrder(key, spec, unit.checkpoint, ticket))
     stops.extend(
         key
         for key in worker.strangers_by_key
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -17,6 +19,39 @@
 Rooms = dict[runs.LifeKey, model.Resources]
 
 
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """What a unit needs of the workers.
+
+    Attributes:
+        step: what each member needs.
+        size: number of members.
+        service: pool that the queue belongs to.
+        on_step: tasks of the step that each worker runs already.
+        allowed: the only lives that may run it; None for all.
+    """
+
+    step: model.Step
+    size: int
+    service: str
+    on_step: Mapping[runs.LifeKey, int] = dataclasses.field(
+        default_factory=dict
+    )
+    allowed: Collection[runs.LifeKey] | None = None
+
+    def may_run_on(self, worker: fleet.TrackedWorker) -> bool:
+        """Returns whether a worker may run the step at all."""
+        return (
+            worker.life is not None
+            and worker.life.service == self.service
+            and (
+                not self.step.required_label
+                or self.step.required_label in worker.life.labels
+            )
+            and (self.allowed is None or worker.key in self.allowed)
+        )
+
+
 class Candidates:
     """Workers that may get tasks, with the room that a pass leaves them.
 
@@ -34,57 +69,37 @@
         """Uses up room."""
         self.rooms[key] -= amount
 
-    def eligible(
-        self, step: model.Step, service: str
-    ) -> list[fleet.TrackedWorker]:
+    def eligible(self, demand: Demand) -> list[fleet.TrackedWorker]:
         """Returns the workers that may run a step at all."""
         return [
             worker
             for worker in self.workers_by_key.values()
-            if worker.life is not None
-            and worker.life.service == service
-            and (
-                not step.required_label
-                or step.required_label in worker.life.labels
-            )
+            if demand.may_run_on(worker)
         ]
 
 
 def place(
-    candidates: Candidates,
-    step: model.Step,
-    size: int,
-    *,
-    service: str,
-    rooms: Rooms | None = None,
-    on_step: Mapping[runs.LifeKey, int] | None = None,
-    avoid: frozenset[runs.LifeKey] = frozenset(),
+    candidates: Candidates, demand: Demand, *, rooms: Rooms | None = None
 ) -> list[runs.LifeKey] | None:
     """Returns a worker for each member, or None if there is no room.
 
     Args:
         candidates: workers and their room.
-        step: what each member needs.
-        size: number of members.
-        service: pool that the queue belongs to.
+        demand: what is to be placed.
         rooms: room by worker, in place of the candidates' own.
-        on_step: tasks of the step that each worker runs already.
-        avoid: workers to use only if no other has room.
     """
+    step, size = demand.step, demand.size
     room_by_key = candidates.rooms if rooms is None else rooms
-    slots = _slots(candidates, step, service, room_by_key, on_step or {})
+    slots = _slots(candidates, demand, room_by_key)
     if not slots:
         return None
     if step.same_rack and size > 1:
         chosen = _within_rack(candidates, step, slots, size)
-        if chosen is not None or _rack_could_hold(
-            candidates, step, service, size
-        ):
+        if chosen is not None or _rack_could_hold(candidates, demand):
             return chosen
     order = sorted(
         slots,
         key=lambda key: (
-            key in avoid,
             not _near(candidates, step, key),
             slots[key] if size == 1 else -slots[key],
             _spare(candidates, step, room_by_key[key], key),
@@ -95,17 +110,14 @@
 
 
 def _slots(
-    candidates: Candidates,
-    step: model.Step,
-    service: str,
-    rooms: Rooms,
-    on_step: Mapping[runs.LifeKey, int],
+    candidates: Candidates, demand: Demand, rooms: Rooms
 ) -> dict[runs.LifeKey, int]:
     slots = {}
-    for worker in candidates.eligible(step, service):
+    step = demand.step
+    for worker in candidates.eligible(demand):
         count = step.footprint.copies_in(rooms[worker.key])
         if step.max_per_worker:
-            left = step.max_per_worker - on_step.get(worker.key, 0)
+            left = step.max_per_worker - demand.on_step.get(worker.key, 0)
             count = min(count, left)
         if count > 0:
             slots[worker.key] = count
@@ -137,19 +149,18 @@
     return _fill(order, slots, size)
 
 
-def _rack_could_hold(
-    candidates: Candidates, step: model.Step, service: str, size: int
-) -> bool:
+def _rack_could_hold(candidates: Candidates, demand: Demand) -> bool:
     """Returns whether some rack would hold all members if it were empty."""
     held: collections.Counter[str] = collections.Counter()
-    for worker in candidates.eligible(step, service):
+    step = demand.step
+    for worker in candidates.eligible(demand):
         if worker.life is None:
             continue
         count = step.footprint.copies_in(worker.life.capacity)
         if step.max_per_worker:
             count = min(count, step.max_per_worker)
         held[worker.life.rack] += count
-    return any(count >= size for count in held.values())
+    return any(count >= demand.size for count in held.values())
 
 
 def _fill(
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,6 +12,7 @@
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import guarantees
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import order
@@ -22,6 +24,7 @@
     from collections.abc import Iterator
 
     from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core.jobs import configuration
     from pimentobridge.core.scheduling import engine as engine_lib
 
 
@@ -67,17 +70,39 @@
                 tracked, entitled=tracked.id in entitled, whole=whole
             )
         )
+        engine.advice.start_pass()
         for tracked in waiting:
-            for number, step, unit in _ready_units(tracked):
-                if self._start(candidates, tracked, number, step, unit):
+            for name, unit in _ready_units(tracked):
+                demand = self._demand(tracked, name, unit, now_s)
+                if self._start(candidates, tracked, name, unit, demand):
                     continue
                 room_is_coming = guarantees.is_urgent(
                     tracked
-                ) and self._reclaim(candidates, tracked, step, unit, entitled)
-                if not room_is_coming and not tracked.step_of(step).gang:
+                ) and self._reclaim(candidates, tracked, demand, entitled)
+                if not room_is_coming and not demand.step.gang:
                     # The step's other tasks have the same shape.
                     break
 
+    def _demand(
+        self,
+        tracked: ledger.TrackedJob,
+        name: advice_lib.StepName,
+        unit: progress_lib.Unit,
+        now_s: float,
+    ) -> placement.Demand:
+        queue = self._queue_of(tracked)
+        return placement.Demand(
+            tracked.step_of(name.step),
+            unit.size,
+            queue.service,
+            on_step=self._tasks_of_step(tracked, name),
+            allowed=(
+                self._engine.advice.tickets(name, now_s)
+                if queue.advice is not None
+                else None
+            ),
+        )
+
     def _entitled(self) -> set[types.JobId]:
         engine = self._engine
         if engine.configuration is None:
@@ -101,20 +126,19 @@
         self,
         candidates: placement.Candidates,
         tracked: ledger.TrackedJob,
-        number: int,
-        step_number: int,
+        step_name: advice_lib.StepName,
         unit: progress_lib.Unit,
+        demand: placement.Demand,
     ) -> bool:
-        step = tracked.step_of(step_number)
-        places = placement.place(
-            candidates,
-            step,
-            unit.size,
-            service=self._service_of(tracked),
-            on_step=self._tasks_of_step(tracked, number, step_number, step),
-        )
+        places = placement.place(candidates, demand)
         if places is None:
+            self._note_misfit(candidates, tracked, step_name, demand)
+            self._ask_for_advice(candidates, tracked, step_name, demand)
             return False
+        step = demand.step
+        tickets = self._engine.advice.tickets(
+            step_name, self._clock.monotonic()
+        )
         engine = self._engine
         unit.run += 1
         unit.status = progress_lib.UnitStatus.ACTIVE
@@ -123,6 +147,7 @@
                 key.worker,
                 key.born_ms,
                 engine.workers_by_life[key].agent or types.Address(""),
+                ticket=tickets.get(key, ""),
             )
             for key in places
         ]
@@ -130,9 +155,7 @@
             tracked.progress.state = progress_lib.JobState.RUNNING
         engine.mark_changed(tracked)
         for member, key in enumerate(places):
-            name = model.TaskName(
-                tracked.id, number, step_number, unit.first + member
-            )
+            name = model.TaskName(*step_name, unit.first + member)
             engine.workers_by_life[key].add(
                 ledger.RunEntry(
                     tracked, name, unit, unit.run, member, tracked.changes
@@ -142,7 +165,7 @@
         self._log(
             "unit placed",
             job=tracked.id,
-            step=step_number,
+            step=step_name.step,
             first=unit.first,
             size=unit.size,
             run=unit.run,
@@ -154,30 +177,75 @@
         )
         return True
 
-    def _service_of(self, tracked: ledger.TrackedJob) -> str:
-        """Returns the service that the queue has now, or had last."""
-        queue = tracked.job.queue
-        configuration = self._engine.configuration
-        if configuration is not None:
-            queue = configuration.queues_by_name.get(queue.name, queue)
-        return queue.service
+    def _note_misfit(
+        self,
+        candidates: placement.Candidates,
+        tracked: ledger.TrackedJob,
+        step_name: advice_lib.StepName,
+        demand: placement.Demand,
+    ) -> None:
+        """Logs once that a task is larger than any worker of its service."""
+        capacities = [
+            worker.life.capacity
+            for worker in candidates.workers_by_key.values()
+            if worker.life is not None and worker.life.service == demand.service
+        ]
+        if tracked.misfit_noted or not capacities:
+            return
+        if any(demand.step.footprint.copies_in(room) for room in capacities):
+            return
+        tracked.misfit_noted = True
+        largest = max(capacities, key=lambda room: room.accelerators)
+        self._log(
+            "task fits no worker",
+            job=tracked.id,
+            step=step_name.step,
+            request=list(msgspec.structs.astuple(demand.step.footprint)),
+            largest_worker=list(msgspec.structs.astuple(largest)),
+            workers=len(capacities),
+        )
 
-    def _tasks_of_step(
+    def _ask_for_advice(
         self,
+        candidates: placement.Candidates,
         tracked: ledger.TrackedJob,
-        number: int,
-        step_number: int,
-        step: model.Step,
+        step_name: advice_lib.StepName,
+        demand: placement.Demand,
+    ) -> None:
+        """Has the policy asked about workers that could be of use.
+
+        An urgent unit may displace others, so that any worker is of use to it.
+        """
+        policy = self._queue_of(tracked).advice
+        if policy is not None:
+            rooms = None if guarantees.is_urgent(tracked) else candidates.rooms
+            self._engine.advice.want(
+                step_name,
+                dataclasses.replace(demand, allowed=None),
+                policy,
+                rooms=rooms,
+            )
+
+    def _queue_of(self, tracked: ledger.TrackedJob) -> configuration.Queue:
+        """Returns the queue as it is now, or as it was last."""
+        queue = tracked.job.queue
+        current = self._engine.configuration
+        if current is not None:
+            queue = current.queues_by_name.get(queue.name, queue)
+        return queue
+
+    def _tasks_of_step(
+        self, tracked: ledger.TrackedJob, step_name: advice_lib.StepName
     ) -> dict[runs.LifeKey, int]:
-        if not step.max_per_worker:
+        if not tracked.step_of(step_name.step).max_per_worker:
             return {}
         counts: collections.Counter[runs.LifeKey] = collections.Counter()
         for key, worker in self._engine.workers_by_life.items():
             for entry in worker.entries_by_key.values():
                 if (
                     entry.tracked is tracked
-                    and entry.name.occurrence == number
-                    and entry.name.step == step_number
+                    and entry.name.occurrence == step_name.occurrence
+                    and entry.name.step == step_name.step
                 ):
                     counts[key] += 1
         return counts
@@ -186,8 +254,7 @@
         self,
         candidates: placement.Candidates,
         tracked: ledger.TrackedJob,
-        step_number: int,
-        unit: progress_lib.Unit,
+        demand: placement.Demand,
         entitled: set[types.JobId],
     ) -> bool:
         """Stops what stands in the way of an urgent unit.
@@ -197,7 +264,6 @@
         """
         now_s = self._clock.monotonic()
         guaranteed = tracked.id in entitled
-        step = tracked.step_of(step_number)
         workers = list(candidates.workers_by_key.values())
         hoped = dict(candidates.rooms)
         for worker in workers:
@@ -205,16 +271,11 @@
             for entry in worker.entries_by_key.values():
                 if entry.stop or not entry.is_current:
                     hoped[worker.key] += entry.step.footprint
-        service = self._service_of(tracked)
-        places = placement.place(
-            candidates, step, unit.size, service=service, rooms=hoped
-        )
+        places = placement.place(candidates, demand, rooms=hoped)
         if places is None:
             chosen = reclaim.choose(
                 candidates,
-                step,
-                unit.size,
-                service=service,
+                demand,
                 rooms=hoped,
                 victims=reclaim.possible_victims(
                     workers, entitled, guaranteed=guaranteed, now_s=now_s
@@ -238,7 +299,7 @@
                     return False
         # Keeps what comes free from jobs of lower rank.
         for key in places:
-            candidates.take(key, step.footprint)
+            candidates.take(key, demand.step.footprint)
         return True
 
     def _stop(
@@ -265,7 +326,7 @@
 
 def _ready_units(
     tracked: ledger.TrackedJob,
-) -> Iterator[tuple[int, int, progress_lib.Unit]]:
+) -> Iterator[tuple[advice_lib.StepName, progress_lib.Unit]]:
     """Yields the waiting units whose earlier steps are done."""
     for number, occurrence in tracked.progress.occurrences_by_number.items():
         for step_number, units in enumerate(occurrence.steps):
@@ -274,4 +335,5 @@
                 continue
             for unit in units:
                 if unit.status is progress_lib.UnitStatus.WAITING:
-                    yield number, step_number, unit
+                    name = advice_lib.StepName(tracked.id, number, step_number)
+                    yield name, unit
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -127,10 +127,8 @@
 
 def choose(
     candidates: placement.Candidates,
-    step: model.Step,
-    size: int,
+    demand: placement.Demand,
     *,
-    service: str,
     rooms: placement.Rooms,
     victims: list[Victim],
 ) -> tuple[list[Victim], list[runs.LifeKey]] | None:
@@ -138,13 +136,12 @@
 
     Args:
         candidates: workers that take tasks.
-        step: what each member needs.
-        size: number of members.
-        service: pool that the queue belongs to.
+        demand: what is to be placed.
         rooms: free room, with that of runs which are being stopped.
         victims: units that may be stopped, cheapest first.
     """
     hoped = dict(rooms)
+    footprint = demand.step.footprint
     picked: list[Victim] = []
     places = None
     for victim in victims:
@@ -153,27 +150,22 @@
         for key, amount in freed.items():
             if key in hoped:
                 hoped[key] += amount
+        # Only a worker that now holds a member can change the outcome.
         if not any(
-            step.footprint.copies_in(hoped[key])
-            for key in freed
-            if key in hoped
+            key in hoped and footprint.copies_in(hoped[key]) for key in freed
         ):
             continue
-        places = placement.place(
-            candidates, step, size, service=service, rooms=hoped
-        )
+        places = placement.place(candidates, demand, rooms=hoped)
         if places is not None:
             break
     if places is None:
         return None
-    return _needed(candidates, step, size, service, rooms, picked)
+    return _needed(candidates, demand, rooms, picked)
 
 
 def _needed(
     candidates: placement.Candidates,
-    step: model.Step,
-    size: int,
-    service: str,
+    demand: placement.Demand,
     rooms: placement.Rooms,
     picked: list[Victim],
 ) -> tuple[list[Victim], list[runs.LifeKey]] | None:
@@ -183,21 +175,13 @@
     for victim in reversed(picked):
         trial = [other for other in kept if other is not victim]
         found = placement.place(
-            candidates,
-            step,
-            size,
-            service=service,
-            rooms=_with_freed(rooms, trial),
+            candidates, demand, rooms=_with_freed(rooms, trial)
         )
         if found is not None:
             kept, places = trial, found
     if places is None:
         places = placement.place(
-            candidates,
-            step,
-            size,
-            service=service,
-            rooms=_with_freed(rooms, kept),
+            candidates, demand, rooms=_with_freed(rooms, kept)
         )
     return None if places is None else (kept, places)
 
--- /dev/null
+++ b/pimentobridge/daemons/advice.py
@@ -0,0 +1,79 @@
+"""Asks the users' policy for the scheduler, one question after another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import result
+import trio
+
+from pimentobridge.daemons import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core.scheduling import engine as engine_lib
+    from pimentobridge.platform import advice as advice_service
+
+IDLE_PAUSE_S = 0.05
+# Pause after a call without an answer, so that an overload isn't pressed.
+RETRY_PAUSE_S = 0.2
+
+
+class Adviser:
+    """Carries the scheduler's questions to the policy's service.
+
+    Args:
+        engine: holds the questions and takes the answers.
+        service: where to ask; None where the settings name none.
+        clock: source of time.
+        on_answer: called after each answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: engine_lib.Engine,
+        service: advice_service.AdviceService | None,
+        clock: clock_lib.Clock,
+        on_answer: Callable[[], None],
+    ) -> None:
+        self._engine = engine
+        self._service = service
+        self._clock = clock
+        self._on_answer = on_answer
+
+    async def run(self) -> None:
+        """Asks until cancelled."""
+        service = self._service
+        if service is None:
+            return
+        while True:
+            asked_s = self._clock.monotonic()
+            question = self._engine.next_question()
+            if question is None:
+                await trio.sleep(IDLE_PAUSE_S)
+                continue
+            answer = await service.ask(
+                question.step,
+                [life.worker for life in question.lives],
+                expected_s=question.policy.time_for(len(question.lives)),
+            )
+            logs.event(
+                "advice asked",
+                job=question.step.job,
+                step=question.step.step,
+                workers=len(question.lives),
+                took_s=round(self._clock.monotonic() - asked_s, 3),
+                outcome=(
+                    f"{len(answer.ok_value.tickets_by_worker)} may run it"
+                    if isinstance(answer, result.Ok)
+                    else answer.err_value
+                ),
+            )
+            if isinstance(answer, result.Ok):
+                self._engine.on_advice(question, answer.ok_value, asked_s)
+                self._on_answer()
+            else:
+                await trio.sleep(RETRY_PAUSE_S)
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -23,6 +23,7 @@
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core.jobs import configuration
     from pimentobridge.core.jobs import model
+    from pimentobridge.platform import advice as advice_service
     from pimentobridge.platform import boot_settings
     from pimentobridge.protocol import transport
 
@@ -43,6 +44,7 @@
         store: the platform's store.
         clock: monotonic time must count suspended time.
         nonce: unique to this process.
+        policy: says which workers may run a step; None where there is none.
     """
 
     def __init__(
@@ -53,11 +55,13 @@
         store: kv_store.KvStore,
         clock: clock_lib.Clock,
         nonce: str,
+        policy: advice_service.AdviceService | None = None,
     ) -> None:
         self.settings = settings
         self._endpoint = endpoint
         self._store = store
         self._clock = clock
+        self._policy = policy
         self.configuration: configuration.JobConfiguration | None = None
         self._configuration_item: kv_store.Item | None = None
         self.scheduler: scheduling.Scheduler | None = None
@@ -459,6 +463,7 @@
             leadership=self.leadership,
             settings=self.settings,
             entries=self.entries,
+            policy=self._policy,
         )
         scheduling.load(scheduler, self.mirror.items_by_key)
         if self.configuration is not None:
--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -14,6 +14,7 @@
 from pimentobridge.daemons import job_entry
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import platform_process
+from pimentobridge.platform import advice
 from pimentobridge.platform import boot_settings
 from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
@@ -40,6 +41,11 @@
         store=kv_store.KvStore(http_client.HttpClient(settings.store)),
         clock=clock,
         nonce=uuid.uuid4().hex,
+        policy=(
+            advice.AdviceService(http_client.HttpClient(settings.advice))
+            if settings.advice
+            else None
+        ),
     )
     app = job_api.CallerApi(entry, clock=clock)
     binds = [settings.front, settings.ready]
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.scheduling import orders
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import stalls
+from pimentobridge.daemons import advice as advice_lib
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import recorder as recorder_lib
@@ -27,6 +28,7 @@
     from pimentobridge.core.jobs import configuration
     from pimentobridge.core.jobs import model
     from pimentobridge.daemons import leadership as leadership_lib
+    from pimentobridge.platform import advice as advice_service
     from pimentobridge.platform import boot_settings
     from pimentobridge.platform import kv_store
     from pimentobridge.protocol import transport
@@ -59,6 +61,7 @@
         leadership: this entry's hold of the key.
         settings: the figures of the promises.
         entries: returns the addresses of all entries.
+        policy: says which workers may run a step; None where there is none.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         leadership: leadership_lib.Leadership,
         settings: boot_settings.ProcessSettings,
         entries: Callable[[], tuple[types.Address, ...]],
+        policy: advice_service.AdviceService | None,
     ) -> None:
         if leadership.token is None:
             raise RuntimeError(
@@ -101,7 +105,12 @@
             on_recorded=self._send_changed_orders,
             on_deposed=lambda: leadership.depose("another entry holds the key"),
         )
-
+        self._adviser = advice_lib.Adviser(
+            engine=self.engine,
+            service=policy,
+            clock=clock,
+            on_answer=lambda: self._wake.set(),
+        )
         self._retention = retention.Retention(
             store=store,
             engine=self.engine,
@@ -115,6 +124,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.recorder.run)
             nursery.start_soon(self._retention.run)
+            nursery.start_soon(self._adviser.run)
             while True:
                 if self._leadership.acting:
                     self._step()
@@ -137,10 +147,25 @@
         self, document: configuration.JobConfiguration
     ) -> None:
         """Puts a newer configuration in force."""
+        self._warn_of_missing_policy(document)
         self.engine.configuration = document
         self.engine.needs_pass = True
         self._wake.set()
 
+    def _warn_of_missing_policy(
+        self, document: configuration.JobConfiguration
+    ) -> None:
+        if self._settings.advice:
+            return
+        for queue in document.queues_by_name.values():
+            if queue.advice is not None:
+                logs.event(
+                    "queue can't start",
+                    queue=queue.name,
+                    version=document.version,
+                    why="it needs advice, and the settings name no address",
+                )
+
     def know_agent(self, agent: types.Address) -> None:
         """Starts to call an agent."""
         if agent not in self._links_by_agent:
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -257,6 +257,7 @@
                 return
             if outcome in (
                 runner_lib.StartResult.NO_ROOM,
+                runner_lib.StartResult.NO_CONSENT,
                 runner_lib.StartResult.INVALID,
                 runner_lib.StartResult.UNHEALTHY,
             ):
--- a/pimentobridge/lab/callers.py
+++ b/pimentobridge/lab/callers.py
@@ -20,8 +20,16 @@
 ASK_INTERVAL_S = 2.0
 
 
-def draw_job(rng: random.Random, number: int) -> tuple[checkers.Submitted, int]:
-    """Returns a job and the priority of its queue."""
+def draw_job(
+    rng: random.Random, number: int, *, advised: tuple[int, ...] = ()
+) -> tuple[checkers.Submitted, int]:
+    """Returns a job and the priority of its queue.
+
+    Args:
+        rng: draws the job.
+        number: begins the job's id.
+        advised: priorities whose queues are subject to a policy.
+    """
     priority = rng.choice(world_lib.PRIORITIES)
     gang = rng.random() < 0.35
     count = rng.choice([1, 2, 3, 4, 6] if gang else [1, 1, 2, 4, 9])
@@ -49,6 +57,7 @@
         "gang": count if gang else 0,
         "failing_runs": failing,
         "checkpointing": checkpointing,
+        "advised": priority in advised,
     }
     job = checkers.Submitted(
         id=f"{number:04x}{rng.getrandbits(48):012x}",
--- a/pimentobridge/lab/day.py
+++ b/pimentobridge/lab/day.py
@@ -24,6 +24,8 @@
 FINISH_S = 90.0
 JOBS = 28
 CANCEL_SHARE = 0.1
+# Priorities whose queues are subject to the users' policy.
+ADVISED = (1,)
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -68,7 +70,11 @@
     )
     async with trio.open_nursery() as nursery:
         world = world_lib.World(
-            rng=rng, nursery=nursery, entries=ENTRIES, workers=WORKERS
+            rng=rng,
+            nursery=nursery,
+            entries=ENTRIES,
+            workers=WORKERS,
+            advised=ADVISED,
         )
         world.put_configuration()
         world.start()
@@ -79,7 +85,7 @@
         async with trio.open_nursery() as traffic:
             for number in range(JOBS):
                 await trio.sleep(rng.expovariate(JOBS / TRAFFIC_S))
-                job, priority = callers.draw_job(rng, number)
+                job, priority = callers.draw_job(rng, number, advised=ADVISED)
                 cancels = rng.random() < CANCEL_SHARE
                 caller = callers.Caller(
                     world,
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -17,6 +17,7 @@
 from pimentobridge.daemons import worker_agent
 from pimentobridge.lab import checkers
 from pimentobridge.lab import wires
+from pimentobridge.platform import advice
 from pimentobridge.platform import boot_settings
 from pimentobridge.platform import heartbeats
 from pimentobridge.platform import http_client
@@ -24,6 +25,7 @@
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
 from pimentobridge.testing import network as network_lib
+from pimentobridge.testing import platform_advice
 from pimentobridge.testing import platform_runner
 from pimentobridge.testing import platform_store
 
@@ -78,6 +80,7 @@
             store=kv_store.KvStore(world.store_client(self.node)),
             clock=clock,
             nonce=f"{self.node}-{self._lives}",
+            policy=advice.AdviceService(world.advice_client(self.node)),
         )
         self.entry = entry
         self.api = job_api.CallerApi(entry, clock=clock)
@@ -209,6 +212,7 @@
         nursery: runs the machines.
         entries: how many entries.
         workers: how many workers.
+        advised: priorities whose queues are subject to a policy.
     """
 
     def __init__(
@@ -218,8 +222,14 @@
         nursery: trio.Nursery,
         entries: int,
         workers: int,
+        advised: tuple[int, ...] = (),
     ) -> None:
         self.rng = rng
+        self.advised = advised
+        self.advice = platform_advice.PlatformAdvice(
+            decision_s=0.05, each_s=0.005, validity_s=3.0
+        )
+        self.advice_faults = wires.CallFaults()
         self.nursery = nursery
         self.last_fault_s = float("-inf")
         self.store = platform_store.PlatformStore(trio.current_time)
@@ -228,7 +238,9 @@
         self.checker = checkers.Checker(
             trio.current_time, lambda: self.last_fault_s
         )
-        self.pool = platform_runner.RunnerPool(trio.current_time, self.checker)
+        self.pool = platform_runner.RunnerPool(
+            trio.current_time, self.checker, advice=self.advice
+        )
         self.lives = 0
         self.origin = trio_clock.FIXED_ORIGIN
         self.network = network_lib.Network(
@@ -247,6 +259,7 @@
             region=types.RegionName("north"),
             internal_ports=(7000, 7015),
             store="store",
+            advice="advice",
             max_lease_s=MAX_LEASE_S,
         )
 
@@ -280,6 +293,18 @@
             host.node, handle, self.runner_faults, RUNNER_CALL_S
         )
 
+    def advice_client(self, node: str) -> wires.LabClient:
+        """Returns a machine's client of the policy's service."""
+
+        async def handle(
+            method: str, path: str, body: object, headers: dict[str, str]
+        ) -> http_client.Answer:
+            del method, headers
+            assert isinstance(body, dict)
+            return await self.advice.handle(node, path, body)
+
+        return self._client(node, handle, self.advice_faults, STORE_CALL_S)
+
     def _client(
         self,
         node: str,
@@ -313,6 +338,7 @@
                     "sloMs": 1000,
                     "timeoutMs": 3000,
                 }
+                | self._policy_of(priority)
                 for priority in PRIORITIES
             ],
             "services": [{"name": SERVICE, "enforcesCapacity": True}],
@@ -328,6 +354,18 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self.store.put(operator_configuration.KEY, value)
 
+    def _policy_of(self, priority: int) -> dict[str, object]:
+        if priority not in self.advised:
+            return {}
+        policy = self.advice
+        return {
+            "advice": {
+                "decisionMs": policy.decision_s * 1000,
+                "eachMs": policy.each_s * 1000,
+                "validityMs": policy.validity_s * 1000,
+            }
+        }
+
     def start(self) -> None:
         """Starts every machine."""
         self.nursery.start_soon(self.network.run)
--- a/pimentobridge/platform/boot_settings.py
+++ b/pimentobridge/platform/boot_settings.py
@@ -30,6 +30,7 @@
         seeds: control addresses of machines that may be entries.
         store: address of the platform's store.
         worker: address of this machine's worker; empty on an entry.
+        advice: address of the policy on who may run a step; empty for none.
         max_lease_s: longest lease of what runs on a worker.
         grace_s: time between the request to stop and the kill.
         early_s: how much sooner than due an occurrence may start.
@@ -47,6 +48,7 @@
     control: str = ""
     seeds: tuple[str, ...] = ()
     worker: str = ""
+    advice: str = ""
     max_lease_s: float = 6.0
     grace_s: float = 6.0
     early_s: float = 0.25
@@ -124,6 +126,7 @@
         control=values.get("listenAddrs.control", ""),
         seeds=listed("seeds"),
         worker=values.get("app", ""),
+        advice=values.get("advice", ""),
         max_lease_s=number("bounds.maxHoldMs", 6.0, milli),
         grace_s=number("bounds.graceS", 6.0),
         early_s=number("bounds.early_ms", 0.25, milli),
--- a/pimentobridge/platform/operator_configuration.py
+++ b/pimentobridge/platform/operator_configuration.py
@@ -12,6 +12,12 @@
 KEY = "op/config"
 
 
+class _Advice(msgspec.Struct):
+    decisionMs: float = 0.0  # noqa: N815
+    eachMs: float = 0.0  # noqa: N815
+    validityMs: float = 0.0  # noqa: N815
+
+
 class _Route(msgspec.Struct):
     name: str
     hostname: str
@@ -23,6 +29,7 @@
     sloMs: float = 0.0  # noqa: N815
     timeoutMs: float = 3000.0  # noqa: N815
     allowAnonymous: bool = False  # noqa: N815
+    advice: _Advice | None = None
 
 
 class _Service(msgspec.Struct):
@@ -87,6 +94,17 @@
         objective_s=route.sloMs / 1000,
         timeout_s=route.timeoutMs / 1000,
         anonymous=route.allowAnonymous,
+        advice=_advice(route.advice),
+    )
+
+
+def _advice(wire: _Advice | None) -> configuration.Advice | None:
+    if wire is None:
+        return None
+    return configuration.Advice(
+        decision_s=wire.decisionMs / 1000,
+        each_s=wire.eachMs / 1000,
+        validity_s=wire.validityMs / 1000,
     )
 
 
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -27,6 +27,7 @@
     RUN_IS_OVER = "run-is-over"
     LEASE_TOO_SHORT = "lease-too-short"
     NO_ROOM = "no-room"
+    NO_CONSENT = "no-consent"
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"
     OTHER_LIFE = "other-life"
@@ -71,7 +72,7 @@
     "old": StartResult.RUN_IS_OVER,
     "late": StartResult.LEASE_TOO_SHORT,
     "room": StartResult.NO_ROOM,
-    "ticket": StartResult.INVALID,
+    "ticket": StartResult.NO_CONSENT,
 }
 
 
@@ -110,6 +111,8 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
         answer = await self._call(worker, "/v1/run-start", body)
         if isinstance(answer, http_client.Failure):
             return StartResult.UNKNOWN
--- /dev/null
+++ b/pimentobridge/testing/platform_advice.py
@@ -0,0 +1,71 @@
+"""Stand-in of the users' policy service, as its published protocol has it."""
+
+from __future__ import annotations
+
+from typing import Any
+import zlib
+
+import trio
+
+from pimentobridge.platform import http_client
+
+MAX_WAITING = 32
+MAX_WORKERS = 100
+# One worker in this many may not run a step.
+DENIED_IN = 3
+
+
+class PlatformAdvice:
+    """Decides by a hash which workers may run a step.
+
+    Args:
+        decision_s: time that an answer takes.
+        each_s: further time for each worker named.
+        validity_s: how long a ticket holds.
+    """
+
+    def __init__(
+        self, *, decision_s: float, each_s: float, validity_s: float
+    ) -> None:
+        self.decision_s = decision_s
+        self.each_s = each_s
+        self.validity_s = validity_s
+        self.calls = 0
+        self._turns_by_caller: dict[str, trio.Lock] = {}
+        self._until_s: dict[tuple[str, str, str], float] = {}
+
+    def may_run(self, step: str, worker: str) -> bool:
+        """Returns whether a worker may run a step."""
+        return zlib.crc32(f"{step}/{worker}".encode()) % DENIED_IN != 0
+
+    def accepts(self, task: str, worker: str, ticket: str) -> bool:
+        """Returns whether a start of a task carries a valid ticket."""
+        step = task.rpartition(".")[0]
+        until_s = self._until_s.get((step, worker, ticket), 0.0)
+        return trio.current_time() <= until_s
+
+    async def handle(
+        self, caller: str, path: str, body: dict[str, Any]
+    ) -> http_client.Answer:
+        """Carries out one call of a machine."""
+        if path != "/v1/advise":
+            return http_client.Answer(404, {})
+        workers = list(body["workers"])
+        if len(workers) > MAX_WORKERS:
+            return http_client.Answer(400, {})
+        turn = self._turns_by_caller.setdefault(caller, trio.Lock())
+        if turn.statistics().tasks_waiting >= MAX_WAITING:
+            return http_client.Answer(429, {})
+        async with turn:
+            await trio.sleep(self.decision_s + self.each_s * len(workers))
+        self.calls += 1
+        good = []
+        for worker in workers:
+            if self.may_run(body["step"], worker):
+                ticket = f"t-{self.calls}"
+                until_s = trio.current_time() + self.validity_s
+                self._until_s[body["step"], worker, ticket] = until_s
+                good.append([worker, ticket])
+        return http_client.Answer(
+            200, {"good": good, "validityMs": self.validity_s * 1000}
+        )
--- a/pimentobridge/testing/platform_runner.py
+++ b/pimentobridge/testing/platform_runner.py
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentobridge.testing import platform_advice
+
 GANG_WAIT_S = 3.0
 STOP_S = 0.4
 CHECKPOINT_S = 2.0
@@ -31,6 +33,7 @@
         self.gang = int(fields.get("gang", 0))
         self.failing_runs = int(fields.get("failing_runs", 0))
         self.checkpointing = bool(fields.get("checkpointing", False))
+        self.advised = bool(fields.get("advised", False))
 
 
 @dataclasses.dataclass
@@ -88,11 +91,20 @@
     Args:
         clock: returns the steady time in seconds.
         watcher: told of each start and end.
+        advice: whose tickets the starts of advised tasks need.
     """
 
-    def __init__(self, clock: Callable[[], float], watcher: Watcher) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        watcher: Watcher,
+        *,
+        advice: platform_advice.PlatformAdvice | None = None,
+    ) -> None:
         self.clock = clock
         self.watcher = watcher
+        self.advice = advice
+        self.without_ticket = 0
         self.runners: list[PlatformRunner] = []
 
     def gang(self, run: Run) -> list[tuple[PlatformRunner, Run]]:
@@ -210,6 +222,9 @@
         if number <= self._sealed.get(task, 0) or held is not None:
             return self._answer(409, reason="old")
         spec = Spec(body["spec"])
+        if spec.advised and not self._has_ticket(task, body):
+            self._pool.without_ticket += 1
+            return self._answer(409, reason="ticket")
         used = model.total(
             run.spec.request for run in self.runs_by_task.values()
         )
@@ -233,6 +248,12 @@
                     member.began_s = now_s
         return self._answer(200)
 
+    def _has_ticket(self, task: str, body: dict[str, Any]) -> bool:
+        advice = self._pool.advice
+        return advice is not None and advice.accepts(
+            task, self.worker, str(body.get("ticket", ""))
+        )
+
     def _stop(self, task: str, number: int) -> http_client.Answer:
         self._sealed[task] = max(self._sealed.get(task, 0), number)
         run = self.runs_by_task.get(task)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -16,6 +16,8 @@
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
+from pimentobridge.core.scheduling import advice as advice_lib
+from pimentobridge.platform import advice
 from pimentobridge.platform import boot_settings
 from pimentobridge.platform import heartbeats
 from pimentobridge.platform import http_client
@@ -53,7 +55,7 @@
     "clockMs": 2,
 }
 JOB = {"spec": "", "steps": [{"count": 1, "cpu": 1}]}
-DOCUMENT = {
+DOCUMENT: dict[str, Any] = {
     "version": 1,
     "routes": [{"name": "r", "hostname": "h", "prefix": "/", "service": "s"}],
     "services": [{"name": "s"}],
@@ -166,6 +168,36 @@
     ]
 
 
+ADVICE = {"good": [["w", "t"]], "validityMs": 3000}
+
+
+@fuzz
+@given(field=strategies.sampled_from(sorted(ADVICE)), value=JSON)
+def test_answers_of_the_policy(field: str, value: Any) -> None:
+    service = advice.AdviceService(_FixedClient(200, {**ADVICE, field: value}))
+    answer = trio.run(_ask, service)
+    assert isinstance(answer, (result.Ok, result.Err))
+
+
+async def _ask(
+    service: advice.AdviceService,
+) -> result.Result[advice_lib.Answer, str]:
+    step = advice_lib.StepName(types.JobId("a" * 16), 0, 0)
+    return await service.ask(step, [types.WorkerId("w")], expected_s=0.1)
+
+
+def test_a_queue_names_its_policy() -> None:
+    policy = {"decisionMs": 50, "eachMs": 5, "validityMs": 3000}
+    route = {**DOCUMENT["routes"][0], "advice": policy}
+    document = operator_configuration.decode(
+        json.dumps({**DOCUMENT, "routes": [route]}).encode()
+    )
+    assert document is not None
+    queue = document.queues_by_name["r"]
+    assert queue.advice == configuration.Advice(0.05, 0.005, 3.0)
+    assert queue.advice.time_for(30) == pytest.approx(0.2)
+
+
 def test_tasks_have_parsable_names() -> None:
     name = model.TaskName(types.JobId("a" * 16), 1, 2, 3)
     assert model.TaskName.parse(str(name)) == name
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -115,7 +115,9 @@
         self.engine.declare_lost()
         self.engine.make_due(0.25)
         planner_lib.Planner(
-            self.engine, clock=self.clock, log=lambda *_, **__: None
+            self.engine,
+            clock=self.clock,
+            log=lambda message, **_: self.lines.append(message),
         ).run()
 
     def record(self) -> None:
@@ -407,6 +409,14 @@
     assert {bench.lives[number].rack for number, _ in orders} == {"rack-1"}
 
 
+def test_a_task_that_fits_no_worker_is_named_once() -> None:
+    bench = Bench(1)
+    huge = model.Step(1, model.Resources(1000, 1000, 9), 5.0)
+    bench.submit(job("b" * 16, huge))
+    bench.submit(job("c" * 16, model.Step(9, GPU, 5.0)))
+    assert bench.lines.count("task fits no worker") == 1
+
+
 def test_a_draining_worker_gets_nothing() -> None:
     bench = Bench(2)
     bench.lives[0] = msgspec.structs.replace(bench.lives[0], draining=True)
