A soak of the real programs: processes on loopback, faults from outside

lab soak runs entries and agents as processes; their connections to the store and to the runners go through proxies that delay, cut, reset and silence them, and signals kill, stop, pause and restart the processes, in series and overlapping. The promises are checked by the lab's checkers from what callers and runners see. The stand-ins and the starting of processes are shared with the demo (platform_processes, platform_servers.StandIns); the lab's caller takes its way of calling.

--- a/pimentobridge/cli/lab.py
+++ b/pimentobridge/cli/lab.py
@@ -14,6 +14,7 @@
 
 from pimentobridge.lab import day
 from pimentobridge.lab import faults
+from pimentobridge.lab import soak as soak_lib
 
 if TYPE_CHECKING:
     import argparse
@@ -52,6 +53,19 @@
     hunt.add_argument("--jobs", type=int, default=DEFAULT_JOBS)
     hunt.add_argument("--json", action="store_true")
     hunt.set_defaults(run=_hunt)
+    soak = actions.add_parser(
+        "soak",
+        help="run real processes on loopback under faults",
+        description="Runs entries and agents as processes, harms them from"
+        " outside, and checks the promises. Unlike the other actions it takes"
+        " real time.",
+    )
+    soak.add_argument("--seeds", type=int, default=1)
+    soak.add_argument("--first-seed", type=int, default=1)
+    soak.add_argument(
+        "--seconds", type=float, default=30.0, help="length of the traffic"
+    )
+    soak.set_defaults(run=_soak)
     kinds = actions.add_parser("kinds", help="list the kinds of faults")
     kinds.set_defaults(run=_kinds)
 
@@ -114,6 +128,13 @@
     return EXIT_BROKEN if broken else EXIT_OK
 
 
+def _soak(options: argparse.Namespace) -> int:
+    seeds = range(options.first_seed, options.first_seed + options.seeds)
+    broken = soak_lib.run(seeds, seconds=options.seconds)
+    print(f"{len(seeds)} soaks, {broken} with broken promises")
+    return EXIT_BROKEN if broken else EXIT_OK
+
+
 def _kinds(options: argparse.Namespace) -> int:
     del options
     print("\n".join(faults.KINDS))
--- a/pimentobridge/lab/callers.py
+++ b/pimentobridge/lab/callers.py
@@ -12,8 +12,12 @@
 from pimentobridge.lab import world as world_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     import random
 
+    Call = Callable[[str, str, bytes], Awaitable[tuple[int, bytes]]]
+
 ATTEMPTS = 5
 CALL_TIMEOUT_S = 3.0
 REPEAT_PAUSE_S = 0.7
@@ -77,32 +81,34 @@
     """One caller with one job.
 
     Args:
-        world: where the entries are.
+        call: makes a call; returns status and body, 0 for no answer.
+        checker: told of what the caller sees.
         job: what it wants done.
-        priority: priority of the queue that it uses.
+        path: path of the job.
         cancels_after_s: time from acceptance to its cancel; None for never.
         until_s: when it stops asking.
     """
 
     def __init__(
         self,
-        world: world_lib.World,
+        call: Call,
+        checker: checkers.Checker,
         job: checkers.Submitted,
         *,
-        priority: int,
+        path: str,
         cancels_after_s: float | None,
         until_s: float,
     ) -> None:
-        self._world = world
+        self._make_call = call
+        self._checker = checker
         self._job = job
-        self._path = f"/queue-{priority}/{job.id}"
-        self._account = world.rng.choice(world_lib.ACCOUNTS)
+        self._path = path
         self._cancels_after_s = cancels_after_s
         self._until_s = until_s
 
     async def run(self) -> None:
         """Hands the job in and follows it to its end."""
-        self._world.checker.jobs_by_id[self._job.id] = self._job
+        self._checker.jobs_by_id[self._job.id] = self._job
         body = json.dumps(
             {"spec": self._job.spec, "steps": self._job.steps}
         ).encode()
@@ -132,17 +138,23 @@
         while trio.current_time() < self._until_s:
             status, answer = await self._call("GET", b"")
             if status == 410:
-                self._world.checker.on_absent(self._job)
+                self._checker.on_absent(self._job)
             elif status == 200:
                 state = json.loads(answer)["state"]
-                self._world.checker.on_shown(self._job, state)
+                self._checker.on_shown(self._job, state)
                 if state in ("completed", "failed", "cancelled"):
                     return
             await trio.sleep(ASK_INTERVAL_S)
 
     async def _call(self, method: str, body: bytes) -> tuple[int, bytes]:
-        """Returns status and body; 0 for no answer."""
-        host = self._world.rng.choice(self._world.entries)
+        return await self._make_call(method, self._path, body)
+
+
+def call_in(world: world_lib.World, account: str) -> Call:
+    """Returns how an account calls the entries of a world."""
+
+    async def call(method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        host = world.rng.choice(world.entries)
         api = host.api
         if api is None:
             await trio.sleep(0.01)
@@ -150,10 +162,10 @@
         scope = {
             "type": "http",
             "method": method,
-            "path": self._path,
+            "path": path,
             "headers": [
                 (b"host", b"host.example"),
-                (b"authorization", f"Bearer key-of-{self._account}".encode()),
+                (b"authorization", f"Bearer key-of-{account}".encode()),
                 (b"timeout-ms", str(int(CALL_TIMEOUT_S * 1000)).encode()),
             ],
         }
@@ -170,3 +182,5 @@
         if len(sent) < 2 or host.api is not api:
             return 0, b""
         return int(sent[0]["status"]), bytes(sent[1]["body"])
+
+    return call
--- a/pimentobridge/lab/day.py
+++ b/pimentobridge/lab/day.py
@@ -87,10 +87,12 @@
                 await trio.sleep(rng.expovariate(JOBS / TRAFFIC_S))
                 job, priority = callers.draw_job(rng, number, advised=ADVISED)
                 cancels = rng.random() < CANCEL_SHARE
+                account = rng.choice(world_lib.ACCOUNTS)
                 caller = callers.Caller(
-                    world,
+                    callers.call_in(world, account),
+                    world.checker,
                     job,
-                    priority=priority,
+                    path=f"/queue-{priority}/{job.id}",
                     cancels_after_s=rng.uniform(0, 3) if cancels else None,
                     until_s=until_s,
                 )
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -56,6 +56,61 @@
     return (zlib.crc32(step.encode()) + machine) % DENIED_IN != 0
 
 
+def configuration_document(
+    version: int,
+    *,
+    service: str,
+    guaranteed: int = 8,
+    policy: platform_advice.PlatformAdvice | None = None,
+    advised: tuple[int, ...] = (),
+) -> dict[str, object]:
+    """Returns a configuration as the operator writes it.
+
+    Args:
+        version: its number.
+        service: pool of workers of all queues.
+        guaranteed: accelerators of each account.
+        policy: whose advice the advised queues need.
+        advised: priorities of these queues.
+    """
+    advice_of = {}
+    if policy is not None:
+        advice_of = {
+            "advice": {
+                "decisionMs": policy.decision_s * 1000,
+                "eachMs": policy.each_s * 1000,
+                "validityMs": policy.validity_s * 1000,
+            }
+        }
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"queue-{priority}",
+                "hostname": "host.example",
+                "prefix": f"/queue-{priority}/",
+                "service": service,
+                "priority": priority,
+                "maxAttempts": MAX_ATTEMPTS,
+                "stretchFactor": 2.0,
+                "sloMs": 1000,
+                "timeoutMs": 3000,
+            }
+            | (advice_of if priority in advised else {})
+            for priority in PRIORITIES
+        ],
+        "services": [{"name": service, "enforcesCapacity": True}],
+        "tenants": [
+            {
+                "name": name,
+                "apiKeys": [f"key-of-{name}"],
+                "guaranteed": {"gpu": guaranteed},
+            }
+            for name in ACCOUNTS
+        ],
+    }
+
+
 class EntryHost:
     """A machine that runs an entry."""
 
@@ -333,48 +388,16 @@
     def put_configuration(self, *, guaranteed: int = 8) -> None:
         """Writes a newer configuration as the operator does."""
         self.version += self.rng.randint(1, 3)
-        document = {
-            "version": self.version,
-            "routes": [
-                {
-                    "name": f"queue-{priority}",
-                    "hostname": "host.example",
-                    "prefix": f"/queue-{priority}/",
-                    "service": SERVICE,
-                    "priority": priority,
-                    "maxAttempts": MAX_ATTEMPTS,
-                    "stretchFactor": 2.0,
-                    "sloMs": 1000,
-                    "timeoutMs": 3000,
-                }
-                | self._policy_of(priority)
-                for priority in PRIORITIES
-            ],
-            "services": [{"name": SERVICE, "enforcesCapacity": True}],
-            "tenants": [
-                {
-                    "name": name,
-                    "apiKeys": [f"key-of-{name}"],
-                    "guaranteed": {"gpu": guaranteed},
-                }
-                for name in ACCOUNTS
-            ],
-        }
+        document = configuration_document(
+            self.version,
+            service=SERVICE,
+            guaranteed=guaranteed,
+            policy=self.advice,
+            advised=self.advised,
+        )
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self.store.put(operator_configuration.KEY, value)
 
-    def _policy_of(self, priority: int) -> dict[str, object]:
-        if priority not in self.advised:
-            return {}
-        policy = self.advice
-        return {
-            "advice": {
-                "decisionMs": policy.decision_s * 1000,
-                "eachMs": policy.each_s * 1000,
-                "validityMs": policy.validity_s * 1000,
-            }
-        }
-
     def start(self) -> None:
         """Starts every machine."""
         self.nursery.start_soon(self.network.run)
--- /dev/null
+++ b/pimentobridge/testing/loopback_proxy.py
@@ -0,0 +1,123 @@
+"""TCP proxy on loopback that harms the connections it carries."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import socket
+import struct
+
+import trio
+
+CHUNK_BYTES = 65536
+
+
+class Cut(enum.Enum):
+    """What becomes of bytes while the proxy harms its connections.
+
+    `ANSWERS`: only those towards the caller are lost.
+    """
+
+    ALL = "all"
+    ANSWERS = "answers"
+    RESET = "reset"
+
+
+@dataclasses.dataclass(eq=False)
+class _Connection:
+    """A carried connection; once it lost bytes it stays silent."""
+
+    caller: trio.SocketStream
+    scope: trio.CancelScope
+    silent: bool = False
+
+
+class LoopbackProxy:
+    """Listens at one address and passes bytes on to another.
+
+    Args:
+        listen: IP and port that callers use.
+        target: IP and port of the real server.
+
+    Attributes:
+        cut: what is lost at the moment; None for nothing.
+        delay_s: delay of each chunk, in seconds.
+    """
+
+    def __init__(
+        self, listen: tuple[str, int], target: tuple[str, int]
+    ) -> None:
+        self._listen = listen
+        self._target = target
+        self._connections: set[_Connection] = set()
+        self.cut: Cut | None = None
+        self.delay_s = 0.0
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        host, port = self._listen
+        await trio.serve_tcp(self._serve, port, host=host)
+
+    def silence_open(self) -> None:
+        """Makes the open connections silent for good; new ones work."""
+        for connection in self._connections:
+            connection.silent = True
+
+    def reset_open(self) -> None:
+        """Resets the open connections."""
+        for connection in list(self._connections):
+            _reset_on_close(connection.caller)
+            connection.scope.cancel()
+
+    async def _serve(self, caller: trio.SocketStream) -> None:
+        if self.cut is Cut.RESET:
+            _reset_on_close(caller)
+            return
+        with trio.CancelScope() as scope:
+            connection = _Connection(caller, scope)
+            self._connections.add(connection)
+            try:
+                await self._carry(connection)
+            except* (
+                OSError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ):
+                # Either end may break off; the other one is reset with it.
+                _reset_on_close(caller)
+            finally:
+                self._connections.discard(connection)
+
+    async def _carry(self, connection: _Connection) -> None:
+        host, port = self._target
+        server = await trio.open_tcp_stream(host, port)
+        caller = connection.caller
+        async with server, trio.open_nursery() as nursery:
+            nursery.start_soon(self._pump, connection, caller, server, False)
+            await self._pump(connection, server, caller, True)
+            nursery.cancel_scope.cancel()
+
+    async def _pump(
+        self,
+        connection: _Connection,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        answers: bool,
+    ) -> None:
+        while True:
+            data = await source.receive_some(CHUNK_BYTES)
+            if not data:
+                connection.scope.cancel()
+                return
+            await trio.sleep(self.delay_s)
+            lost = self.cut is Cut.ALL or (self.cut is Cut.ANSWERS and answers)
+            # A stream that lost bytes can't go on.
+            connection.silent = connection.silent or lost
+            if not connection.silent:
+                await sink.send_all(data)
+
+
+def _reset_on_close(stream: trio.SocketStream) -> None:
+    stream.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
--- a/pimentobridge/testing/platform_demo.py
+++ b/pimentobridge/testing/platform_demo.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import base64
-import os
 import pathlib
 import signal
-import subprocess
-import sys
 import tempfile
 import uuid
 
@@ -15,9 +12,9 @@
 import msgspec
 import trio
 
-from pimentobridge.platform import boot_settings
 from pimentobridge.platform import http_client
 from pimentobridge.platform import operator_configuration
+from pimentobridge.testing import platform_processes
 from pimentobridge.testing import platform_servers
 
 ENTRIES = 3
@@ -39,15 +36,10 @@
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
-        self._folder = folder
-        port = 20_000 + os.getpid() % 20_000
-        self._ports = {
-            name: port + offset
-            for offset, name in enumerate(
-                ("front", "ready", "control", "runner", "store", "internal")
-            )
-        }
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        port = platform_processes.base_port()
+        self._processes = platform_processes.Processes(folder, port=port)
+        self._store = f"{STORE}:{port + 4}"
+        self._runner_port = port + 5
         self.completed: list[str] = []
 
     async def run(self) -> bool:
@@ -56,10 +48,10 @@
             self._start_stand_ins()
             await self._configure()
             for number in range(ENTRIES):
-                self._start_daemon("job_entry", f"entry-{number}", 10 + number)
+                self._processes.launch_entry(number, store=self._store)
             for number in range(WORKERS):
-                self._start_daemon(
-                    "worker_agent", f"agent-{number}", 30 + number
+                self._processes.launch_agent(
+                    number, store=self._store, runner=self._runner(number)
                 )
             await self._wait_ready()
             print(f"jobs: {len(self._processes)} processes run", flush=True)
@@ -71,57 +63,21 @@
                 await self._follow(job)
             return await self._judge(jobs)
         finally:
-            self._stop()
+            self._processes.stop()
+
+    def _runner(self, number: int) -> str:
+        return f"127.0.2.{number + 1}:{self._runner_port}"
 
     def _start_stand_ins(self) -> None:
-        arguments = ["--store", f"{STORE}:{self._ports['store']}"]
+        arguments = ["--store", self._store]
         for number in range(WORKERS):
-            runner = f"127.0.2.{number + 1}:{self._ports['runner']}"
-            control = f"127.0.1.{30 + number}:{self._ports['control']}"
-            arguments += ["--runner", f"{runner}={control}"]
-        self._launch(
+            control = self._processes.control(number)
+            arguments += ["--runner", f"{self._runner(number)}={control}"]
+        self._processes.launch(
             "stand-ins",
             ["-m", "pimentobridge.testing.platform_servers", *arguments],
         )
 
-    def _launch(
-        self, name: str, arguments: list[str], **variables: str
-    ) -> None:
-        with (self._folder / f"{name}.log").open("ab") as log:
-            self._processes[name] = subprocess.Popen(
-                [sys.executable, *arguments],
-                stdout=log,
-                stderr=log,
-                env=os.environ | variables,
-            )
-
-    def _start_daemon(self, role: str, node: str, host: int) -> None:
-        ports, ip = self._ports, f"127.0.1.{host}"
-        lines = {
-            "node": node,
-            "ip": ip,
-            "zone": "north-a",
-            "region": "north",
-            "internalPorts": f"{ports['internal']},{ports['internal']}",
-            "platform.address": f"{STORE}:{ports['store']}",
-            "listenAddrs.control": f"{ip}:{ports['control']}",
-        }
-        if role == "job_entry":
-            lines["listenAddrs.front"] = f"{ip}:{ports['front']}"
-            lines["listenAddrs.ready"] = f"{ip}:{ports['ready']}"
-        else:
-            lines["app"] = f"127.0.2.{host - 29}:{ports['runner']}"
-        path = self._folder / f"{node}.conf"
-        path.write_text(
-            "".join(f"{key}={value}\n" for key, value in lines.items()),
-            encoding="utf-8",
-        )
-        self._launch(
-            node,
-            ["-m", f"pimentobridge.daemons.{role}_process"],
-            **{boot_settings.PATH_VARIABLE: str(path)},
-        )
-
     async def _configure(self) -> None:
         document = {
             "version": 1,
@@ -139,7 +95,7 @@
             "tenants": [{"name": "shop", "apiKeys": [KEY]}],
         }
         value = base64.b64encode(msgspec.json.encode(document)).decode()
-        store = http_client.HttpClient(f"{STORE}:{self._ports['store']}")
+        store = http_client.HttpClient(self._store)
         path = f"{platform_servers.OPERATOR_PATH}{operator_configuration.KEY}"
         with trio.fail_after(START_LIMIT_S):
             while isinstance(
@@ -166,13 +122,12 @@
         ready: bool = False,
     ) -> int:
         """Calls an entry; keeps the body of the answer."""
-        port = self._ports["ready" if ready else "front"]
         path = "/v1/readiness" if ready else f"{PREFIX}{rest}"
         async with httpcore.AsyncConnectionPool() as pool:
             try:
                 response = await pool.request(
                     method,
-                    f"http://127.0.1.{10 + entry}:{port}{path}",
+                    self._processes.url(entry, ready=ready) + path,
                     headers={
                         "Host": HOSTNAME,
                         "Authorization": f"Bearer {KEY}",
@@ -221,12 +176,9 @@
         """Kills the entry that logged last that it schedules."""
         for number in range(ENTRIES):
             name = f"entry-{number}"
-            log = (self._folder / f"{name}.log").read_text(encoding="utf-8")
-            if '"message":"scheduling"' in log:
+            if '"message":"scheduling"' in self._processes.log_of(name):
                 print(f"  killing the scheduler, {name}", flush=True)
-                process = self._processes[name]
-                process.send_signal(signal.SIGKILL)
-                process.wait()
+                self._processes.signal(name, signal.SIGKILL)
                 return
 
     async def _follow(self, job: str) -> None:
@@ -241,7 +193,7 @@
                 await trio.sleep(0.2)
 
     async def _judge(self, jobs: list[str]) -> bool:
-        store = http_client.HttpClient(f"{STORE}:{self._ports['store']}")
+        store = http_client.HttpClient(self._store)
         answer = await store.call(
             "GET", platform_servers.STARTS_PATH, timeout_s=2.0
         )
@@ -256,12 +208,6 @@
         )
         return not doubled and sorted(self.completed) == sorted(jobs)
 
-    def _stop(self) -> None:
-        for process in self._processes.values():
-            process.kill()
-        for process in self._processes.values():
-            process.wait()
-
 
 def run() -> int:
     """Runs the demo; 0 if every job ended well, once."""
--- /dev/null
+++ b/pimentobridge/testing/platform_processes.py
@@ -0,0 +1,150 @@
+"""Real entries and agents as processes on loopback."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+from pimentobridge.platform import boot_settings
+
+if TYPE_CHECKING:
+    import pathlib
+    import signal
+
+FIRST_PORT = 20_000
+PORT_SPAN = 20_000
+PORTS_A_RUN = 20
+FIRST_ENTRY_HOST = 10
+FIRST_AGENT_HOST = 30
+
+
+def base_port() -> int:
+    """Returns the first of `PORTS_A_RUN` ports that other runs don't use."""
+    return FIRST_PORT + os.getpid() * PORTS_A_RUN % PORT_SPAN
+
+
+@dataclasses.dataclass
+class _Process:
+    arguments: list[str]
+    variables: dict[str, str]
+    running: subprocess.Popen[bytes] | None = None
+
+
+class Processes:
+    """Processes that this object started, by name; it ends no others.
+
+    Args:
+        folder: where settings and logs are written.
+        port: first of the ports that the daemons listen at.
+    """
+
+    def __init__(self, folder: pathlib.Path, *, port: int) -> None:
+        self.folder = folder
+        self._processes_by_name: dict[str, _Process] = {}
+        names = ("front", "ready", "control", "internal")
+        self._ports = {name: port + place for place, name in enumerate(names)}
+
+    def __len__(self) -> int:
+        return len(self._processes_by_name)
+
+    def launch(self, name: str, arguments: list[str], **variables: str) -> None:
+        """Starts a Python process under a name."""
+        self._processes_by_name[name] = _Process(arguments, variables)
+        self.start(name)
+
+    def start(self, name: str) -> None:
+        """Starts a process again, with its arguments of before."""
+        process = self._processes_by_name[name]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process.running = subprocess.Popen(
+                [sys.executable, *process.arguments],
+                stdout=log,
+                stderr=log,
+                env=os.environ | process.variables,
+            )
+
+    def launch_entry(self, number: int, *, store: str) -> str:
+        """Starts an entry that finds the store at an address."""
+        ip = self.entry_ip(number)
+        fields = {
+            "platform.address": store,
+            "listenAddrs.front": f"{ip}:{self._ports['front']}",
+            "listenAddrs.ready": f"{ip}:{self._ports['ready']}",
+        }
+        return self._launch_daemon("job_entry", f"entry-{number}", ip, fields)
+
+    def launch_agent(self, number: int, *, store: str, runner: str) -> str:
+        """Starts the agent of the runner at an address."""
+        ip = self.agent_ip(number)
+        fields = {"platform.address": store, "app": runner}
+        return self._launch_daemon(
+            "worker_agent", f"agent-{number}", ip, fields
+        )
+
+    def entry_ip(self, number: int) -> str:
+        """Returns where an entry listens."""
+        return f"127.0.1.{FIRST_ENTRY_HOST + number}"
+
+    def agent_ip(self, number: int) -> str:
+        """Returns where an agent listens."""
+        return f"127.0.1.{FIRST_AGENT_HOST + number}"
+
+    def url(self, entry: int, *, ready: bool = False) -> str:
+        """Returns the address of an entry's callers or readiness check."""
+        port = self._ports["ready" if ready else "front"]
+        return f"http://{self.entry_ip(entry)}:{port}"
+
+    def control(self, agent: int) -> str:
+        """Returns where an agent takes its runner's heartbeats."""
+        return f"{self.agent_ip(agent)}:{self._ports['control']}"
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process that runs."""
+        running = self._processes_by_name[name].running
+        if running is not None and running.poll() is None:
+            running.send_signal(number)
+
+    def ended(self, name: str) -> bool:
+        """Returns whether a process has ended."""
+        running = self._processes_by_name[name].running
+        return running is None or running.poll() is not None
+
+    def log_of(self, name: str) -> str:
+        """Returns what a process has written so far."""
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
+
+    def stop(self) -> None:
+        """Ends every process."""
+        for process in self._processes_by_name.values():
+            if process.running is not None:
+                process.running.kill()
+        for process in self._processes_by_name.values():
+            if process.running is not None:
+                process.running.wait()
+
+    def _launch_daemon(
+        self, role: str, node: str, ip: str, fields: dict[str, str]
+    ) -> str:
+        internal = self._ports["internal"]
+        lines = {
+            "node": node,
+            "ip": ip,
+            "zone": "north-a",
+            "region": "north",
+            "internalPorts": f"{internal},{internal}",
+            "listenAddrs.control": f"{ip}:{self._ports['control']}",
+        } | fields
+        path = self.folder / f"{node}.conf"
+        path.write_text(
+            "".join(f"{key}={value}\n" for key, value in lines.items()),
+            encoding="utf-8",
+        )
+        self.launch(
+            node,
+            ["-m", f"pimentobridge.daemons.{role}_process"],
+            **{boot_settings.PATH_VARIABLE: str(path)},
+        )
+        return node
--- a/pimentobridge/testing/platform_servers.py
+++ b/pimentobridge/testing/platform_servers.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     Handler = Callable[[str, str, Any, str], Awaitable[http_client.Answer]]
 
@@ -85,53 +86,117 @@
             self.done_by_task[run.task] = count + 1
 
 
-async def _serve(store_at: str, runners_at: list[str]) -> None:
-    counter = _StartCounter()
-    store = platform_store.PlatformStore(trio.current_time)
-    pool = platform_runner.RunnerPool(trio.current_time, counter)
+class StandIns:
+    """The platform's store, and all workers' runners.
 
-    async def handle_store(
-        method: str, path: str, body: Any, expected: str
-    ) -> http_client.Answer:
-        del expected
-        if path.startswith(OPERATOR_PATH):
-            store.put(path.removeprefix(OPERATOR_PATH), body["value"])
-            return http_client.Answer(200, {})
-        if path == STARTS_PATH:
-            return http_client.Answer(
-                200, {"starts": counter.starts, "done": counter.done_by_task}
-            )
-        return await store.handle(method, path, body)
-
-    never = trio.Event()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(pool.run)
-        nursery.start_soon(_expire, store)
-        nursery.start_soon(
-            http_server.serve, _App(handle_store), [store_at], never
-        )
-        for number, addresses in enumerate(runners_at):
-            address, _, control = addresses.partition("=")
-            runner = platform_runner.PlatformRunner(
-                pool,
-                f"worker-{number}",
-                CAPACITY,
-                born_ms=int(time.time() * 1000),
-                max_lease_s=MAX_LEASE_S,
-            )
-            app = _App(_runner_handler(runner))
-            nursery.start_soon(http_server.serve, app, [address], never)
-            nursery.start_soon(_beat, runner, number, address, control)
+    Args:
+        store_at: address to serve the store at.
+        runners_at: address of each runner, and of its agent's control.
+        watcher: told of each start and end.
 
+    Attributes:
+        store_busy: the store turns every call away.
+    """
 
-def _runner_handler(runner: platform_runner.PlatformRunner) -> Handler:
-    async def handle(
-        method: str, path: str, body: Any, expected: str
-    ) -> http_client.Answer:
-        del method
-        return await runner.handle(path, body, expected)
+    def __init__(
+        self,
+        store_at: str,
+        runners_at: Sequence[tuple[str, str]],
+        watcher: platform_runner.Watcher,
+    ) -> None:
+        self._store_at = store_at
+        self._runners_at = runners_at
+        self.store = platform_store.PlatformStore(trio.current_time)
+        self.store_busy = False
+        self._pool = platform_runner.RunnerPool(trio.current_time, watcher)
+        self._lives = 0
+        self.runners = [self._new_runner() for _ in runners_at]
+
+    async def run(self, *, extra: Handler | None = None) -> None:
+        """Serves until cancelled.
+
+        Args:
+            extra: handles the calls of the store's address that the store
+                doesn't know.
+        """
+        never = trio.Event()
+
+        async def handle_store(
+            method: str, path: str, body: Any, expected: str
+        ) -> http_client.Answer:
+            if path.startswith("/v1/"):
+                if self.store_busy:
+                    return http_client.Answer(503, {})
+                return await self.store.handle(method, path, body)
+            if extra is None:
+                return http_client.Answer(404, {})
+            return await extra(method, path, body, expected)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._pool.run)
+            nursery.start_soon(_expire, self.store)
+            nursery.start_soon(
+                http_server.serve, _App(handle_store), [self._store_at], never
+            )
+            for number, (address, _) in enumerate(self._runners_at):
+                app = _App(self._runner_handler(number))
+                nursery.start_soon(http_server.serve, app, [address], never)
+                nursery.start_soon(self._beat, number)
+
+    def crash(self, number: int) -> None:
+        """Ends a worker's life; a new one begins at the same address."""
+        self.runners[number].crash()
+        self.runners[number] = self._new_runner()
+
+    def _new_runner(self) -> platform_runner.PlatformRunner:
+        self._lives += 1
+        return platform_runner.PlatformRunner(
+            self._pool,
+            f"worker-{self._lives}",
+            CAPACITY,
+            born_ms=int(time.time() * 1000) + self._lives,
+            max_lease_s=MAX_LEASE_S,
+        )
 
-    return handle
+    def _runner_handler(self, number: int) -> Handler:
+        async def handle(
+            method: str, path: str, body: Any, expected: str
+        ) -> http_client.Answer:
+            del method
+            return await self.runners[number].handle(path, body, expected)
+
+        return handle
+
+    async def _beat(self, number: int) -> None:
+        address, control = self._runners_at[number]
+        client = http_client.HttpClient(control)
+        sequence = 0
+        while True:
+            sequence += 1
+            runner = self.runners[number]
+            await client.call(
+                "POST",
+                f"/v1/instances/{runner.worker}/heartbeat",
+                timeout_s=1.0,
+                body={
+                    "service": SERVICE,
+                    "address": address,
+                    "zone": "north-a",
+                    "version": "v1",
+                    "slots": 8,
+                    "state": "ready",
+                    "capacity": {
+                        "cpu": CAPACITY.cpu_millicores,
+                        "memMb": CAPACITY.memory_mib,
+                        "gpu": CAPACITY.accelerators,
+                    },
+                    "labels": ["a", f"rack-{number // WORKERS_PER_RACK}"],
+                    "sequence": sequence,
+                    "born": runner.born_ms,
+                    "clockMs": runner.clock_s * 1000,
+                },
+            )
+            await trio.sleep(HEARTBEAT_S)
 
 
 async def _expire(store: platform_store.PlatformStore) -> None:
@@ -140,39 +205,25 @@
         await trio.sleep(0.05)
 
 
-async def _beat(
-    runner: platform_runner.PlatformRunner,
-    number: int,
-    address: str,
-    control: str,
-) -> None:
-    client = http_client.HttpClient(control)
-    sequence = 0
-    while True:
-        sequence += 1
-        await client.call(
-            "POST",
-            f"/v1/instances/{runner.worker}/heartbeat",
-            timeout_s=1.0,
-            body={
-                "service": SERVICE,
-                "address": address,
-                "zone": "north-a",
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "capacity": {
-                    "cpu": CAPACITY.cpu_millicores,
-                    "memMb": CAPACITY.memory_mib,
-                    "gpu": CAPACITY.accelerators,
-                },
-                "labels": ["a", f"rack-{number // WORKERS_PER_RACK}"],
-                "sequence": sequence,
-                "born": runner.born_ms,
-                "clockMs": runner.clock_s * 1000,
-            },
-        )
-        await trio.sleep(HEARTBEAT_S)
+async def _serve(store_at: str, runners_at: list[tuple[str, str]]) -> None:
+    counter = _StartCounter()
+    stand_ins = StandIns(store_at, runners_at, counter)
+
+    async def extra(
+        method: str, path: str, body: Any, expected: str
+    ) -> http_client.Answer:
+        del method, expected
+        if path.startswith(OPERATOR_PATH):
+            key = path.removeprefix(OPERATOR_PATH)
+            stand_ins.store.put(key, body["value"])
+            return http_client.Answer(200, {})
+        if path == STARTS_PATH:
+            return http_client.Answer(
+                200, {"starts": counter.starts, "done": counter.done_by_task}
+            )
+        return http_client.Answer(404, {})
+
+    await stand_ins.run(extra=extra)
 
 
 def main() -> None:
@@ -186,7 +237,11 @@
         metavar="IP:PORT=CONTROL-IP:PORT",
     )
     options = parser.parse_args()
-    trio.run(_serve, options.store, options.runner)
+    runners_at = []
+    for addresses in options.runner:
+        address, _, control = addresses.partition("=")
+        runners_at.append((address, control))
+    trio.run(_serve, options.store, runners_at)
 
 
 if __name__ == "__main__":
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -61,10 +61,12 @@
             await trio.sleep(3.0)
             async with trio.open_nursery() as traffic:
                 for number in range(jobs):
+                    job = submitted(number, count=4)
                     caller = callers.Caller(
-                        world,
-                        submitted(number, count=4),
-                        priority=1,
+                        callers.call_in(world, world_lib.ACCOUNTS[0]),
+                        world.checker,
+                        job,
+                        path=f"/queue-1/{job.id}",
                         cancels_after_s=None,
                         until_s=trio.current_time() + 60.0,
                     )
