--- a/pimentobridge/daemons/http_server.py
+++ b/pimentobridge/daemons/http_server.py
@@ -26,8 +26,20 @@
     """Serves metrics; a process without its metrics port works on."""
     try:
         await serve(app, [address], stopped)
-    except OSError as error:
-        logs.event("metrics not served", address=address, why=str(error))
+    except* OSError as group:
+        # The server's own tasks wrap what they raise in groups.
+        why = "; ".join(str(error) for error in _leaves(group))
+        logs.event("metrics not served", address=address, why=why)
+
+
+def _leaves(group: BaseExceptionGroup[OSError]) -> list[BaseException]:
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found.extend(_leaves(error))
+        else:
+            found.append(error)
+    return found
 
 
 async def serve(app: Any, binds: Sequence[str], stopped: trio.Event) -> None:
--- a/pimentobridge/daemons/logs.py
+++ b/pimentobridge/daemons/logs.py
@@ -85,6 +85,10 @@
         """Writes what an earlier call couldn't."""
         self._push()
 
+    def close(self) -> None:
+        """Writes what is left; standard output stays open."""
+        self._push()
+
     def _admit(self) -> bool:
         now_s = time.monotonic()
         self._budget = min(
