--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -606,6 +606,24 @@
     assert _percents(bench, key, slow) == 0
 
 
+def test_a_lasting_task_starts_again_however_it_ends() -> None:
+    bench = Bench(1)
+    lasting = model.Step(1, GPU, 5.0, long_running=True)
+    orders = bench.submit(job("b" * 16, lasting))
+    causes = [runs.EndCause.FAILED] * 3 + [runs.EndCause.DONE]
+    for number, cause in enumerate(causes, start=1):
+        [(_, key)] = started(orders)
+        assert key.run == number
+        bench.observe(0, running=running(key))
+        bench.observe(0, ended=ended(key, cause, number))
+        bench.plan()
+        bench.record()
+        orders = bench.observe_all()
+    [(_, key)] = started(orders)
+    assert key.run == len(causes) + 1
+    assert not bench.engine.jobs_by_id[types.JobId("b" * 16)].state.ended
+
+
 def test_an_occurrence_waits_for_its_time() -> None:
     bench = Bench(1)
     timed = job(
