Log the jobs passed over by a placement, run times and told states

Cause: the logs couldn't tell whether less urgent work takes the room that more urgent work waits for, whether the end of a job is told late, or whether a worker is slow. Change: 'unit placed' names the more urgent jobs that wait and may run there, 'run ended' has the run time, and the new 'job state told' has the age of the copy that it comes from. Result: no change of logic; tests of scheduling and the callers' API pass.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -355,6 +355,7 @@
             run=end.key.run,
             worker=worker.key.worker,
             cause=end.cause.value,
+            ran_s=round(entry.execution_time_s(self._clock.monotonic()), 2),
         )
         if unit.run == entry.run:
             unit.placements[entry.member].released = True
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -28,6 +28,10 @@
     from pimentobridge.core.scheduling import engine as engine_lib
 
 
+# Limit on the jobs named in a log line.
+MAX_LOGGED_JOBS = 8
+
+
 class Planner:
     """Places waiting units on free resources and preempts for urgent jobs.
 
@@ -47,6 +51,8 @@
         self._engine = engine
         self._clock = clock
         self._log = log
+        # Jobs with units that didn't fit in the current pass.
+        self._waiting: list[tuple[ledger.TrackedJob, placement.Demand]] = []
 
     def run(self) -> None:
         """Runs one scheduling pass over the waiting units, in order of rank."""
@@ -71,11 +77,13 @@
             )
         )
         engine.advice.start_pass()
+        self._waiting.clear()
         for tracked in open_jobs:
             for name, unit in _ready_units(tracked):
                 demand = self._demand(tracked, name, unit, now_s)
                 if self._start(candidates, tracked, name, unit, demand):
                     continue
+                self._waiting.append((tracked, demand))
                 capacity_is_reserved = guarantees.is_urgent(
                     tracked
                 ) and self._reclaim(candidates, tracked, demand, entitled)
@@ -178,9 +186,30 @@
             estimate_s=step.estimate_s,
             checkpointing=step.checkpointing,
             waited_s=round(self._clock.monotonic() - tracked.first_seen_s, 3),
+            past=self._jobs_passed(tracked, assigned),
         )
         return True
 
+    def _jobs_passed(
+        self, tracked: ledger.TrackedJob, assigned: list[runs.IncarnationKey]
+    ) -> list[types.JobId]:
+        """Returns the waiting jobs of more urgent queues that may run there.
+
+        Args:
+            tracked: the job that was placed.
+            assigned: the workers that it was placed on.
+        """
+        workers = [
+            self._engine.workers_by_incarnation[key] for key in set(assigned)
+        ]
+        passed = {
+            waiting.id
+            for waiting, demand in self._waiting
+            if waiting.job.queue.priority < tracked.job.queue.priority
+            and any(demand.may_run_on(worker) for worker in workers)
+        }
+        return sorted(passed)[:MAX_LOGGED_JOBS]
+
     def _log_oversized_task(
         self,
         candidates: placement.Candidates,
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -30,6 +30,10 @@
 # within that.
 RETRY_AFTER_S = 1
 _RETRY_AFTER = (b"retry-after", str(RETRY_AFTER_S).encode())
+# An unanswered watch makes the mirror this old at most while the store answers.
+OLD_MIRROR_S = 2.5
+# Limit of remembered jobs whose end was told.
+MAX_REMEMBERED_ENDS = 10_000
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}\Z")
 
 
@@ -46,6 +50,8 @@
     ) -> None:
         self._entry = entry
         self._clock = clock
+        # Jobs whose end was told to a caller; the oldest are forgotten first.
+        self._ends_told: dict[types.JobId, None] = {}
         self.metrics = job_metrics.Metrics(entry.gauges)
 
     async def __call__(
@@ -168,12 +174,34 @@
     ) -> http.Response:
         state = await self._entry.state_of(job_id, deadline_s)
         if isinstance(state, progress_lib.JobState):
+            self._log_state(job_id, state)
             return _response(200, {"state": state.value})
         if state is control.WriteOutcome.ABSENT:
             logs.event("job unknown", job=job_id)
             return _error(410, "there is no such job.")
         return _outcome_unknown("the job's state isn't known now; ask again.")
 
+    def _log_state(
+        self, job_id: types.JobId, state: progress_lib.JobState
+    ) -> None:
+        """Logs when callers learn that a job has ended, once per job.
+
+        Answers from an old copy of the store are logged too, whatever they say.
+        """
+        age_s = self._entry.mirror_age_s
+        if state.ended and job_id not in self._ends_told:
+            self._ends_told[job_id] = None
+            if len(self._ends_told) > MAX_REMEMBERED_ENDS:
+                del self._ends_told[next(iter(self._ends_told))]
+        elif age_s < OLD_MIRROR_S:
+            return
+        logs.event(
+            "job state told",
+            job=job_id,
+            state=state.value,
+            mirror_age_s=round(age_s, 3),
+        )
+
     async def _cancel(
         self, job_id: types.JobId, deadline_s: float
     ) -> http.Response:
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -124,6 +124,11 @@
         """Whether this entry can't reach the store at the moment."""
         return self._store.unavailable
 
+    @property
+    def mirror_age_s(self) -> float:
+        """Seconds since the store last answered a read or watch."""
+        return self._clock.monotonic() - self.mirror.synchronised_s
+
     def entries(self) -> tuple[types.Address, ...]:
         """Returns the addresses of all announced entries."""
         return tuple(
@@ -136,14 +141,13 @@
 
     def gauges(self) -> dict[str, float]:
         """Returns this entry's gauges by metric name."""
-        now_s = self._clock.monotonic()
         version = self.configuration.version if self.configuration else 0
         values: dict[str, float] = {
             "scheduling": float(self.leadership.is_leader),
             "ready": float(self.ready),
             "store_away": float(self._store.unavailable),
             "store_calls_total": self._store.calls,
-            "mirror_age_seconds": now_s - self.mirror.synchronised_s,
+            "mirror_age_seconds": self.mirror_age_s,
             "configuration_version": version,
             "log_lines_left_out_total": logs.dropped_lines(),
         }
