Hold what a waiting unit needs from less urgent jobs

Cause: a pass went on to jobs of lower rank when a unit didn't fit, and these took the accelerators that became free one by one. Only urgent jobs that could be given room at once reserved any. Change: a unit that doesn't fit holds the workers on which the runs are expected to make room first; jobs of less urgent queues don't get what it needs there. Jobs of the same queue still do, as the shorter ones go first there. Result: test_less_urgent_tasks_do_not_take_what_a_wide_task_waits_for fails without the change; the tests of scheduling and the lab pass.

--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -14,6 +14,7 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import guarantees
+from pimentobridge.core.scheduling import holds
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import placement
 from pimentobridge.core.scheduling import ranking
@@ -78,20 +79,43 @@
         )
         engine.advice.start_pass()
         self._waiting.clear()
+        held = holds.Holds(candidates)
         for tracked in open_jobs:
+            held.apply_to(tracked.job.queue.priority)
             for name, unit in _ready_units(tracked):
                 demand = self._demand(tracked, name, unit, now_s)
                 if self._start(candidates, tracked, name, unit, demand):
                     continue
                 self._waiting.append((tracked, demand))
-                capacity_is_reserved = guarantees.is_urgent(
-                    tracked
-                ) and self._reclaim(candidates, tracked, demand, entitled)
-                if not capacity_is_reserved and not demand.step.gang:
+                if guarantees.is_urgent(tracked) and self._reclaim(
+                    candidates, tracked, demand, entitled
+                ):
+                    continue
+                if _any_less_urgent(open_jobs, tracked):
+                    self._hold(held, candidates, tracked, demand)
+                if not demand.step.gang:
                     # The step's other tasks have the same requirements, so
                     # they don't fit either.
                     break
 
+    def _hold(
+        self,
+        held: holds.Holds,
+        candidates: placement.Candidates,
+        tracked: ledger.TrackedJob,
+        demand: placement.Demand,
+    ) -> None:
+        """Holds the resources that a unit is expected to get first."""
+        assigned = holds.earliest_assignment(
+            candidates, demand, self._clock.monotonic()
+        )
+        if assigned is not None:
+            held.add(
+                holds.Hold(
+                    tracked.job.queue.priority, assigned, demand.step.footprint
+                )
+            )
+
     def _demand(
         self,
         tracked: ledger.TrackedJob,
@@ -373,6 +397,13 @@
             )
 
 
+def _any_less_urgent(
+    ranked: list[ledger.TrackedJob], tracked: ledger.TrackedJob
+) -> bool:
+    """Returns whether a job in the order of rank is less urgent."""
+    return ranked[-1].job.queue.priority > tracked.job.queue.priority
+
+
 def _ready_units(
     tracked: ledger.TrackedJob,
 ) -> Iterator[tuple[advice_lib.StepName, progress_lib.Unit]]:
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -553,6 +553,45 @@
     assert _count_preempted_runs(urgent, 0.0) == 0
 
 
+# Guards against less urgent work that takes, task by task, what a wide task
+# waits for: the shortfall of issue 20.
+def test_less_urgent_tasks_do_not_take_what_a_wide_task_waits_for() -> None:
+    harness = EngineHarness(2)
+    batch = job("b" * 16, model.Step(12, GPU, 30.0), priority=2)
+    keys_by_worker: dict[int, list[runs.RunKey]] = {0: [], 1: []}
+    for number, key in started(harness.submit(batch)):
+        keys_by_worker[number].append(key)
+    assert sorted(len(keys) for keys in keys_by_worker.values()) == [4, 8]
+    for number, keys in keys_by_worker.items():
+        harness.observe(number, running=just_started(*keys))
+    wide = job("c" * 16, model.Step(1, WORKER, 5.0), priority=1)
+    more_batch = job("d" * 16, model.Step(9, GPU, 1.0), priority=2)
+    names = [
+        key.task[:16] for _, key in started(harness.submit(wide, more_batch))
+    ]
+    assert set(names) == {"b" * 16}
+    half = next(n for n, keys in keys_by_worker.items() if len(keys) == 4)
+    ends = tuple(
+        runs.EndedRun(number + 1, key, runs.EndCause.DONE, "")
+        for number, key in enumerate(keys_by_worker[half])
+    )
+    harness.observe(half, ended=ends)
+    harness.plan()
+    harness.record()
+    starts = harness.observe(half, ended=ends).starts
+    assert [start.key.task[:16] for start in starts] == ["c" * 16]
+
+
+def test_tasks_of_the_same_queue_take_what_a_wide_task_waits_for() -> None:
+    harness = EngineHarness(2)
+    batch = job("b" * 16, model.Step(12, GPU, 30.0))
+    harness.submit(batch)
+    wide = job("c" * 16, model.Step(1, WORKER, 5.0))
+    narrow = job("d" * 16, model.Step(4, GPU, 30.0))
+    names = [key.task[:16] for _, key in started(harness.submit(wide, narrow))]
+    assert names.count("d" * 16) == 4
+
+
 def test_a_worker_that_fails_several_jobs_is_ejected() -> None:
     harness = EngineHarness(1)
     first = job("a" * 16)
