Let any job preempt saved work of less urgent queues

Cause: only jobs of the urgent queue could preempt. Change: a job of another queue may preempt runs of less urgent queues that write checkpoints. The log event is now 'run stopped for a more urgent job'. Result: test_a_task_preempts_checkpointing_runs_of_less_urgent_queues fails without the change.

--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -88,7 +88,7 @@
                 if self._start(candidates, tracked, name, unit, demand):
                     continue
                 self._waiting.append((tracked, demand))
-                if guarantees.is_urgent(tracked) and self._preemptor.make_room(
+                if self._preemptor.make_room(
                     candidates, tracked, demand, entitled
                 ):
                     continue
--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -44,7 +44,7 @@
         demand: placement.Demand,
         entitled: set[types.JobId],
     ) -> bool:
-        """Reserves resources for an urgent unit, preempting runs if needed.
+        """Reserves resources for a unit, preempting runs if needed.
 
         Returns:
             Whether resources are reserved for the unit in this pass.
@@ -67,7 +67,11 @@
                 demand,
                 free_by_key=projected,
                 victims=reclaim.possible_victims(
-                    workers, entitled, guaranteed=guaranteed, now_s=now_s
+                    workers,
+                    entitled,
+                    priority=tracked.job.queue.priority,
+                    guaranteed=guaranteed,
+                    now_s=now_s,
                 ),
             )
             if chosen is None:
@@ -102,7 +106,7 @@
         for worker, entry in victim.entries:
             entry.stop_requested = True
             self._log(
-                "run stopped for an urgent job",
+                "run stopped for a more urgent job",
                 job=entry.tracked.id,
                 task=str(entry.name),
                 run=entry.run,
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -1,4 +1,4 @@
-"""Chooses runs to preempt for an urgent job."""
+"""Chooses runs to preempt for a more urgent job."""
 
 from __future__ import annotations
 
@@ -89,18 +89,21 @@
     workers: Iterable[fleet.TrackedWorker],
     entitled: set[types.JobId],
     *,
+    priority: int,
     guaranteed: bool,
     now_s: float,
 ) -> list[Victim]:
-    """Returns the units that an urgent job may preempt.
+    """Returns the units that a job may preempt.
 
     They are sorted by the work that a stop discards, least first.
 
     Args:
         workers: workers whose runs are considered.
         entitled: jobs that the guarantees cover.
-        guaranteed: whether the urgent job is one of `entitled`. If not, it may
-            preempt only less urgent jobs.
+        priority: priority of the job's queue. A job that isn't urgent may
+            preempt only runs that save their work.
+        guaranteed: whether the job is one of `entitled`. If not, it may preempt
+            only jobs of less urgent queues.
         now_s: current monotonic time.
     """
     by_unit: dict[int, Victim] = {}
@@ -109,7 +112,9 @@
             if (
                 entry.stop_requested
                 or not entry.is_current
-                or _is_protected(entry, entitled, guaranteed=guaranteed)
+                or _is_protected(
+                    entry, entitled, priority=priority, guaranteed=guaranteed
+                )
             ):
                 continue
             victim = by_unit.setdefault(id(entry.unit), Victim(entry.unit))
@@ -125,13 +130,19 @@
 
 
 def _is_protected(
-    entry: ledger.RunEntry, entitled: set[types.JobId], *, guaranteed: bool
+    entry: ledger.RunEntry,
+    entitled: set[types.JobId],
+    *,
+    priority: int,
+    guaranteed: bool,
 ) -> bool:
     if entry.step.long_running:
         return True
-    if not guarantees.is_urgent(entry.tracked):
-        return False
-    return not guaranteed or entry.tracked.id in entitled
+    if guaranteed:
+        return entry.tracked.id in entitled
+    if priority != guarantees.URGENT_PRIORITY and not entry.step.checkpointing:
+        return True
+    return entry.tracked.job.queue.priority <= priority
 
 
 def choose_victims(
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -582,6 +582,31 @@
     assert [start.key.task[:16] for start in starts] == ["c" * 16]
 
 
+def _stops_for_middle_queue(batch: model.Step) -> int:
+    """Returns how many batch runs a whole-worker task of queue 1 stops."""
+    harness = EngineHarness(1)
+    submission = job("b" * 16, batch, priority=2)
+    keys = [key for _, key in started(harness.submit(submission))]
+    harness.observe(0, running=running(*keys))
+    harness.engine.put_job(job("c" * 16, model.Step(1, WORKER), priority=1))
+    harness.plan()
+    harness.record()
+    return len(harness.observe(0, running=running(*keys)).stops)
+
+
+# Guards against a wide task that waits for runs of less urgent jobs whose work
+# is saved: issue 20.
+def test_a_task_preempts_checkpointing_runs_of_less_urgent_queues() -> None:
+    assert (
+        _stops_for_middle_queue(model.Step(8, GPU, 300.0, checkpointing=True))
+        == 8
+    )
+
+
+def test_a_task_that_is_not_urgent_preempts_no_unsaved_runs() -> None:
+    assert _stops_for_middle_queue(model.Step(8, GPU, 300.0)) == 0
+
+
 def test_tasks_of_the_same_queue_take_what_a_wide_task_waits_for() -> None:
     harness = EngineHarness(2)
     batch = job("b" * 16, model.Step(12, GPU, 30.0))
