Keep a cut-off entry's copy of the store up to date through another entry

Cause: an entry that the store doesn't answer relayed its callers' writes and asked others for the configuration, but didn't ask them how its callers' jobs stood. Change: one exchange for everything that is mirrored replaces that of the configuration; one other entry is asked at a time, and the next one if it supplies nothing.

--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -13,6 +13,7 @@
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import leadership as leadership_lib
 from pimentobridge.daemons import logs
+from pimentobridge.daemons import mirror_sharing
 from pimentobridge.daemons import scheduling
 from pimentobridge.daemons import store_mirror
 from pimentobridge.platform import kv_store
@@ -33,7 +34,6 @@
 # forgotten first.
 MAX_UNCERTAIN_WRITES = 10_000
 ANNOUNCE_INTERVAL_S = 1.0
-CONFIGURATION_QUERY_INTERVAL_S = 0.5
 
 
 class JobEntry:
@@ -69,7 +69,6 @@
         self._clock = clock
         self._policy_service = policy_service
         self.configuration: configuration.JobConfiguration | None = None
-        self._configuration_item: kv_store.Item | None = None
         self.scheduler: scheduling.Scheduler | None = None
         self.draining = False
         self._relay_events: dict[int, trio.Event] = {}
@@ -89,6 +88,15 @@
             clock=clock,
             on_change=self._on_configuration_item,
         )
+        self.sharing = mirror_sharing.MirrorSharing(
+            mirrors={
+                keys.PREFIX: self.mirror,
+                operator_configuration.KEY: self.configuration_mirror,
+            },
+            endpoint=endpoint,
+            peers=self._peers,
+            clock=clock,
+        )
         self.leadership = leadership_lib.Leadership(
             store=store,
             mirror=self.mirror,
@@ -108,7 +116,7 @@
             nursery.start_soon(self._announce)
             nursery.start_soon(self._receive_messages)
             nursery.start_soon(self._run_terms)
-            nursery.start_soon(self._request_configuration)
+            nursery.start_soon(self.sharing.run)
 
     @property
     def ready(self) -> bool:
@@ -139,6 +147,11 @@
             )
         )
 
+    def _peers(self) -> list[types.Address]:
+        """Returns the addresses of the other announced entries."""
+        own = self._endpoint.address
+        return [peer for peer in self.entries() if peer != own]
+
     def gauges(self) -> dict[str, float]:
         """Returns this entry's gauges by metric name."""
         version = self.configuration.version if self.configuration else 0
@@ -269,9 +282,10 @@
         A job that the mirror lacks is reported as `ABSENT` only if the store
         confirms it, as the mirror may be out of date.
         """
-        item = self.mirror.items_by_key.get(keys.job(job_id))
+        key = keys.job(job_id)
+        item = self.mirror.items_by_key.get(key)
         while item is None or item.value is None:
-            response = await self._store.get(keys.job(job_id))
+            response = await self._store.get(key)
             if isinstance(response, result.Ok):
                 item = response.ok_value
                 if item is None:
@@ -280,6 +294,8 @@
             if self._clock.monotonic() > deadline_s:
                 return control.WriteOutcome.UNKNOWN
             await trio.sleep(WRITE_RETRY_PAUSE_S)
+            # Another entry may have supplied it meanwhile.
+            item = self.mirror.items_by_key.get(key)
         if item.value is None:
             return control.WriteOutcome.ABSENT
         job = progress_lib.decode_job(item.value)
@@ -314,9 +330,7 @@
         self, job_id: types.JobId, value: bytes | None
     ) -> control.WriteOutcome:
         """Asks another entry to make a write and waits for its answer."""
-        peers = [
-            peer for peer in self.entries() if peer != self._endpoint.address
-        ]
+        peers = self._peers()
         if not peers:
             return control.WriteOutcome.NOT_WRITTEN
         # The scheduler is the entry most likely to reach the store, as it
@@ -350,16 +364,10 @@
                 if answered is not None:
                     self._relay_results[message.sequence] = message.outcome
                     answered.set()
-            elif isinstance(message, control.ConfigurationQuery):
-                self._on_configuration_query(envelope.sender, message)
-            elif isinstance(message, control.ConfigurationCopy):
-                self.configuration_mirror.offer(
-                    kv_store.Item(
-                        operator_configuration.KEY,
-                        message.value,
-                        message.revision,
-                    )
-                )
+            elif isinstance(message, control.MirrorQuery):
+                self.sharing.on_query(envelope.sender, message)
+            elif isinstance(message, control.MirrorCopy):
+                self.sharing.on_copy(envelope.sender, message)
             else:
                 logs.event(
                     "unexpected message",
@@ -391,7 +399,7 @@
             sender, control.WriteRelayed(message.sequence, outcome)
         )
 
-    # Changes in the store, and copies of the configuration.
+    # Changes in the store.
 
     def _on_item(self, item: kv_store.Item) -> None:
         scheduler = self.scheduler
@@ -416,7 +424,6 @@
         if current is not None and current.version >= document.version:
             return
         self.configuration = document
-        self._configuration_item = item
         logs.event(
             "configuration in force",
             version=document.version,
@@ -425,32 +432,6 @@
         if self.scheduler is not None:
             self.scheduler.set_configuration(document)
 
-    async def _request_configuration(self) -> None:
-        """Asks the other entries for it while the store is unreachable."""
-        while True:
-            await trio.sleep(CONFIGURATION_QUERY_INTERVAL_S)
-            if self.configuration_mirror.reachable:
-                continue
-            item = self._configuration_item
-            query = control.ConfigurationQuery(item.revision if item else 0)
-            for peer in self.entries():
-                if peer != self._endpoint.address:
-                    self._endpoint.send(peer, query)
-
-    def _on_configuration_query(
-        self, sender: types.Address, query: control.ConfigurationQuery
-    ) -> None:
-        item = self._configuration_item
-        if (
-            item is None
-            or item.value is None
-            or item.revision <= query.revision
-        ):
-            return
-        self._endpoint.send(
-            sender, control.ConfigurationCopy(item.revision, item.value)
-        )
-
     async def _announce(self) -> None:
         """Keeps this entry's address in the store, for the other processes."""
         key = keys.entry(self._endpoint.address)
--- /dev/null
+++ b/pimentobridge/daemons/mirror_sharing.py
@@ -0,0 +1,165 @@
+"""Keeps an entry's mirrors up to date through other entries.
+
+An entry that the store doesn't answer asks another one for the items that have
+changed, so that it can still tell callers how their jobs stand.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from pimentobridge.daemons import logs
+from pimentobridge.daemons import store_mirror
+from pimentobridge.platform import kv_store
+from pimentobridge.protocol import control
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core import types
+    from pimentobridge.protocol import transport
+
+QUERY_INTERVAL_S = 0.25
+# The store answers a watch within its wait; an older mirror may miss changes.
+OLD_MIRROR_S = store_mirror.WATCH_WAIT_S + 0.25
+# Limit on the values in a copy; the next query asks for the rest.
+MAX_COPY_BYTES = 128 * 1024
+
+
+class MirrorSharing:
+    """Exchanges mirrored items with the other entries.
+
+    Args:
+        mirrors: the mirrors by prefix.
+        endpoint: transport to the other entries.
+        peers: returns the addresses of the other entries.
+        clock: source of time.
+
+    Attributes:
+        source: the entry that last supplied items, or that is asked next; None
+            if there is no other entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        mirrors: Mapping[str, store_mirror.StoreMirror],
+        endpoint: transport.Outbox,
+        peers: Callable[[], list[types.Address]],
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._mirrors = mirrors
+        self._endpoint = endpoint
+        self._peers = peers
+        self._clock = clock
+        self.source: types.Address | None = None
+        self._source_answered_s = clock.monotonic()
+        # Store revision up to which copies have supplied all changes.
+        self._copied_by_prefix = dict.fromkeys(mirrors, 0)
+
+    async def run(self) -> None:
+        """Asks for items while a mirror is out of date, until cancelled."""
+        while True:
+            await trio.sleep(QUERY_INTERVAL_S)
+            old = [
+                prefix
+                for prefix, mirror in self._mirrors.items()
+                if self._is_old(mirror)
+            ]
+            if old:
+                self._choose_source()
+            if self.source is None:
+                continue
+            for prefix in old:
+                self._endpoint.send(
+                    self.source,
+                    control.MirrorQuery(prefix, self._known_revision(prefix)),
+                )
+
+    def _known_revision(self, prefix: str) -> int:
+        return max(
+            self._mirrors[prefix].revision, self._copied_by_prefix[prefix]
+        )
+
+    def _is_old(self, mirror: store_mirror.StoreMirror) -> bool:
+        age_s = self._clock.monotonic() - mirror.synchronised_s
+        return not mirror.reachable or age_s > OLD_MIRROR_S
+
+    def _choose_source(self) -> None:
+        """Passes to the next entry if the present one doesn't supply items."""
+        peers = self._peers()
+        if not peers:
+            self.source = None
+            return
+        silent_s = self._clock.monotonic() - self._source_answered_s
+        if self.source in peers and silent_s < 2 * QUERY_INTERVAL_S:
+            return
+        following = [
+            peer for peer in peers if self.source is None or peer > self.source
+        ]
+        self.source = (following or peers)[0]
+
+    def on_query(
+        self, sender: types.Address, query: control.MirrorQuery
+    ) -> None:
+        """Answers with the items that the sender lacks."""
+        mirror = self._mirrors.get(query.prefix)
+        if mirror is None or self._is_old(mirror):
+            return
+        newer = [
+            item
+            for item in mirror.items_by_key.values()
+            if item.revision > query.revision
+        ]
+        newer.sort(key=lambda item: item.revision)
+        copied = _first_items(newer)
+        revision = mirror.revision
+        if len(copied) < len(newer):
+            revision = min(revision, copied[-1].revision)
+        self._endpoint.send(
+            sender, control.MirrorCopy(query.prefix, revision, copied)
+        )
+
+    def on_copy(self, sender: types.Address, copy: control.MirrorCopy) -> None:
+        """Applies the items that another entry has supplied."""
+        mirror = self._mirrors.get(copy.prefix)
+        if mirror is None or sender != self.source:
+            return
+        self._source_answered_s = self._clock.monotonic()
+        for item in copy.items:
+            mirror.offer(kv_store.Item(item.key, item.value, item.revision))
+        if copy.revision > self._copied_by_prefix[copy.prefix]:
+            self._copied_by_prefix[copy.prefix] = copy.revision
+            logs.event(
+                "items from another entry",
+                source=sender,
+                prefix=copy.prefix,
+                items=len(copy.items),
+                revision=copy.revision,
+            )
+
+
+def _first_items(
+    items: list[kv_store.Item],
+) -> tuple[control.MirroredItem, ...]:
+    """Returns the items up to the limit on a copy.
+
+    The items of one revision, which were written together, are kept together.
+    """
+    chosen: list[control.MirroredItem] = []
+    size = 0
+    for item in items:
+        value = item.value or b""
+        size += len(value)
+        if (
+            size > MAX_COPY_BYTES
+            and chosen
+            and chosen[-1].revision != item.revision
+        ):
+            break
+        chosen.append(control.MirroredItem(item.key, value, item.revision))
+    return tuple(chosen)
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -8,6 +8,8 @@
 
 import enum
 
+import msgspec
+
 from pimentobridge.core import types
 from pimentobridge.core.jobs import runs
 from pimentobridge.protocol import messages
@@ -97,25 +99,42 @@
     outcome: WriteOutcome
 
 
-class ConfigurationQuery(messages.Message, frozen=True):
-    """Asks another entry for a newer configuration document.
+class MirrorQuery(messages.Message, frozen=True):
+    """Asks another entry for items of the store that have changed.
 
-    Sent by an entry whose calls the store refuses.
+    Sent by an entry that the store doesn't answer.
 
     Attributes:
-        revision: the store's revision of the sender's document; 0 for none.
+        prefix: start of the keys.
+        revision: store revision up to which the sender has all changes.
     """
 
+    prefix: str
     revision: int
 
 
-class ConfigurationCopy(messages.Message, frozen=True):
-    """The newest configuration document that the sending entry has.
+class MirroredItem(msgspec.Struct, frozen=True, array_like=True):
+    """An item of the store, as an entry has it.
 
     Attributes:
-        revision: the store's revision of the document.
-        value: the document as it is stored.
+        revision: the store's revision at the item's last change.
     """
 
-    revision: int
+    key: str
     value: bytes
+    revision: int
+
+
+class MirrorCopy(messages.Message, frozen=True):
+    """Items that are newer than the revision in a `MirrorQuery`.
+
+    Only an entry that the store answers sends it. Deleted items aren't listed.
+
+    Attributes:
+        revision: store revision up to which the receiver then has all changes.
+        items: the items.
+    """
+
+    prefix: str
+    revision: int
+    items: tuple[MirroredItem, ...]
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -302,3 +302,33 @@
         return status, answer
 
     assert run_scenario(scenario) == (200, {"state": "completed"})
+
+
+# Guards against an end that callers of a cut-off entry learn only when the
+# store answers that entry again: found with issue 20.
+@pytest.mark.parametrize("mode", list(faulty_client.OutageMode))
+def test_an_isolated_entry_tells_the_end_of_a_job(
+    mode: faulty_client.OutageMode,
+) -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        await caller.call("POST", f"/queue-1/{JOB_ID}", VALID_JOB)
+        cut_off_node = world.entries[0].node
+        world.store_faults.outage_by_node[cut_off_node] = mode
+        await trio.sleep(5.0)
+        return (await caller.call("GET", f"/queue-1/{JOB_ID}"))[1]
+
+    assert run_scenario(scenario) == {"state": "completed"}
+
+
+def test_an_isolated_entry_learns_of_a_job_submitted_elsewhere() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        cut_off_node = world.entries[0].node
+        world.store_faults.outage_by_node[cut_off_node] = (
+            faulty_client.OutageMode.RESET
+        )
+        await trio.sleep(1.0)
+        await caller.call("POST", f"/queue-1/{JOB_ID}", VALID_JOB, entry=1)
+        await trio.sleep(5.0)
+        return (await caller.call("GET", f"/queue-1/{JOB_ID}"))[1]
+
+    assert run_scenario(scenario) == {"state": "completed"}
