Accept connections while a process still imports its modules

Cause: a start takes 0.7 to 1.3 s, most of it imports, and the ports were opened last; a new entry also refused requests until its configuration had arrived. Change: the launcher opens the ports first, so that callers and workers wait for the rest of the start; requests wait for the first configuration, at most 1 s from the start. Signals that arrive meanwhile are handled after it instead of ending the process. Result: test_a_process_accepts_connections_before_its_modules_are_loaded and test_a_request_waits_for_the_configuration_of_a_new_entry; the latter fails without the change.

--- a/pimentobridge/daemons/http_server.py
+++ b/pimentobridge/daemons/http_server.py
@@ -8,6 +8,7 @@
 import hypercorn.config
 import hypercorn.trio
 
+from pimentobridge.daemons import listening
 from pimentobridge.daemons import logs
 
 if TYPE_CHECKING:
@@ -17,7 +18,6 @@
 
 # Metrics port on every machine; deploy/system.toml states the same.
 METRICS_PORT = 9464
-ACCEPT_BACKLOG = 512
 CLOSE_TIMEOUT_S = 0.5
 KEEP_ALIVE_S = 20.0
 
@@ -46,7 +46,7 @@
     """Serves an application at the addresses `binds` until `stopped` is set."""
     config = hypercorn.config.Config()
     config.bind = list(binds)
-    config.backlog = ACCEPT_BACKLOG
+    config.backlog = listening.ACCEPT_BACKLOG
     config.accesslog = None
     config.errorlog = None
     config.graceful_timeout = CLOSE_TIMEOUT_S
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -26,6 +26,8 @@
 DEFAULT_TIMEOUT_S = 3.0
 # Fraction of a caller's timeout within which the entry answers.
 RESPONSE_TIME_FRACTION = 0.85
+# Time from an entry's start within which requests wait for its configuration.
+START_WAIT_S = 1.0
 # Callers wait about three seconds in total, and an outage of the store may end
 # within that.
 RETRY_AFTER_S = 1
@@ -77,7 +79,7 @@
         path: str = scope["path"]
         if path == READINESS_PATH:
             return _response(200 if self._entry.ready else 503)
-        document = self._entry.configuration
+        document = await self._entry.first_configuration(START_WAIT_S)
         if document is None:
             return _not_run("no configuration has arrived yet")
         host = http.header(scope, "host").partition(":")[0]
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -69,6 +69,8 @@
         self._clock = clock
         self._policy_service = policy_service
         self.configuration: configuration.JobConfiguration | None = None
+        self._configured = trio.Event()
+        self._created_s = clock.monotonic()
         self.scheduler: scheduling.Scheduler | None = None
         self.draining = False
         self._relay_events: dict[int, trio.Event] = {}
@@ -170,6 +172,20 @@
 
     # Requests of callers.
 
+    async def first_configuration(
+        self, wait_s: float
+    ) -> configuration.JobConfiguration | None:
+        """Returns the configuration; an entry that has just started waits.
+
+        Args:
+            wait_s: time from this entry's start after which it no longer
+                waits, in seconds.
+        """
+        age_s = self._clock.monotonic() - self._created_s
+        with trio.move_on_after(max(0.0, wait_s - age_s)):
+            await self._configured.wait()
+        return self.configuration
+
     async def submit(
         self, job: model.Job, deadline_s: float
     ) -> control.WriteOutcome:
@@ -424,6 +440,7 @@
         if current is not None and current.version >= document.version:
             return
         self.configuration = document
+        self._configured.set()
         logs.event(
             "configuration in force",
             version=document.version,
--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import sys
+from typing import TYPE_CHECKING
 import uuid
 
 import trio
@@ -15,11 +15,14 @@
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import platform_process
 from pimentobridge.platform import advice
-from pimentobridge.platform import boot_settings
 from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
 from pimentobridge.protocol import zmq_transport
 
+if TYPE_CHECKING:
+    from pimentobridge.daemons import listening
+    from pimentobridge.platform import boot_settings
+
 # The balancer stops sending new connections after two failed health checks, a
 # second apart.
 BALANCER_DRAIN_S = 2.5
@@ -27,12 +30,16 @@
 KILL_MARGIN_S = 1.5
 
 
-def main() -> int:
+def main(
+    settings: boot_settings.ProcessSettings, listeners: listening.Listeners
+) -> int:
     """Runs an entry until a signal stops it."""
-    return platform_process.run(_run)
+    return platform_process.run(_run, settings, listeners)
 
 
-async def _run(settings: boot_settings.ProcessSettings) -> int:
+async def _run(
+    settings: boot_settings.ProcessSettings, listeners: listening.Listeners
+) -> int:
     clock = boot_clock.BootClock()
     entry = job_entry.JobEntry(
         settings=settings,
@@ -55,7 +62,12 @@
     stopped = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(entry.run)
-        nursery.start_soon(http_server.serve, app, binds, stopped)
+        nursery.start_soon(
+            http_server.serve,
+            app,
+            [listeners.bind_of(address) for address in binds],
+            stopped,
+        )
         nursery.start_soon(
             http_server.serve_metrics,
             app.metrics,
@@ -77,7 +89,3 @@
         nursery.cancel_scope.cancel()
     logs.event("stopped")
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/pimentobridge/daemons/platform_process.py
+++ b/pimentobridge/daemons/platform_process.py
@@ -1,4 +1,4 @@
-"""Settings, logs and signals of any process on the platform."""
+"""Logs and signals of any process on the platform."""
 
 from __future__ import annotations
 
@@ -8,20 +8,32 @@
 import trio
 
 from pimentobridge.daemons import logs
-from pimentobridge.platform import boot_settings
+from pimentobridge.daemons import platform_signals
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from pimentobridge.daemons import listening
+    from pimentobridge.platform import boot_settings
+
 
 def run(
-    serve: Callable[[boot_settings.ProcessSettings], Awaitable[int]],
+    serve: Callable[
+        [boot_settings.ProcessSettings, listening.Listeners], Awaitable[int]
+    ],
+    settings: boot_settings.ProcessSettings,
+    listeners: listening.Listeners,
 ) -> int:
-    """Runs a process with the settings that the platform provides."""
-    settings = boot_settings.load(boot_settings.path_from_environment())
+    """Runs a process.
+
+    Args:
+        serve: runs the process until a signal stops it; returns its exit code.
+        settings: the process's settings.
+        listeners: sockets that are open already.
+    """
     logs.set_up(settings.node)
-    return trio.run(serve, settings)
+    return trio.run(serve, settings, listeners)
 
 
 async def wait_for_stop() -> None:
@@ -30,9 +42,8 @@
     SIGHUP asks for a reload and is only logged: settings are read only when the
     process starts.
     """
-    with trio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as received:
+    with trio.open_signal_receiver(*platform_signals.HANDLED) as received:
+        platform_signals.unblock()
         async for number in received:
             if number != signal.SIGHUP:
                 return
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import sys
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -15,21 +15,28 @@
 from pimentobridge.daemons import platform_process
 from pimentobridge.daemons import worker_agent
 from pimentobridge.daemons import worker_api
-from pimentobridge.platform import boot_settings
 from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import runner as runner_lib
 from pimentobridge.protocol import zmq_transport
 
+if TYPE_CHECKING:
+    from pimentobridge.daemons import listening
+    from pimentobridge.platform import boot_settings
+
 ANNOUNCE_RETRY_DELAY_S = 0.5
 
 
-def main() -> int:
+def main(
+    settings: boot_settings.ProcessSettings, listeners: listening.Listeners
+) -> int:
     """Runs an agent until a signal stops it."""
-    return platform_process.run(_run)
+    return platform_process.run(_run, settings, listeners)
 
 
-async def _run(settings: boot_settings.ProcessSettings) -> int:
+async def _run(
+    settings: boot_settings.ProcessSettings, listeners: listening.Listeners
+) -> int:
     port = settings.internal_ports[0]
     address = types.Address(f"tcp://{settings.ip}:{port}")
     agent = worker_agent.WorkerAgent(
@@ -50,7 +57,7 @@
         nursery.start_soon(
             http_server.serve,
             worker_api.WorkerApi(agent),
-            [settings.control],
+            [listeners.bind_of(settings.control)],
             stopped,
         )
         nursery.start_soon(
@@ -81,7 +88,3 @@
         if written.is_ok():
             return
         await trio.sleep(ANNOUNCE_RETRY_DELAY_S)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/pimentobridge/testing/platform_processes.py
+++ b/pimentobridge/testing/platform_processes.py
@@ -80,15 +80,13 @@
             "listenAddrs.front": f"{ip}:{self._ports['front']}",
             "listenAddrs.ready": f"{ip}:{self._ports['ready']}",
         }
-        return self._launch_daemon("job_entry", f"entry-{number}", ip, fields)
+        return self._launch_daemon("entry", f"entry-{number}", ip, fields)
 
     def launch_agent(self, number: int, *, store: str, runner: str) -> str:
         """Starts an agent for the given runner; returns its name."""
         ip = self.agent_ip(number)
         fields = {"platform.address": store, "app": runner}
-        return self._launch_daemon(
-            "worker_agent", f"agent-{number}", ip, fields
-        )
+        return self._launch_daemon("agent", f"agent-{number}", ip, fields)
 
     def entry_ip(self, number: int) -> str:
         """Returns the IP address on which an entry listens."""
@@ -132,7 +130,7 @@
                 process.popen.wait()
 
     def _launch_daemon(
-        self, module: str, node: str, ip: str, fields: dict[str, str]
+        self, role: str, node: str, ip: str, fields: dict[str, str]
     ) -> str:
         internal = self._ports["internal"]
         lines = {
@@ -150,7 +148,7 @@
         )
         self.launch(
             node,
-            ["-m", f"pimentobridge.daemons.{module}_process"],
+            ["-m", "pimentobridge.daemons.launch", role],
             **{boot_settings.PATH_VARIABLE: str(path)},
         )
         return node
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -136,6 +136,18 @@
     assert run_scenario(scenario, configured=False) == [503, 503]
 
 
+def test_a_request_waits_for_the_configuration_of_a_new_entry() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        world.entries[0].kill()
+        while world.entries[0].api is not None:
+            await trio.sleep(0.01)
+        while world.entries[0].api is None:
+            await trio.sleep(0.01)
+        return (await caller.call("POST", f"/queue-1/{JOB_ID}", VALID_JOB))[0]
+
+    assert run_scenario(scenario) == 200
+
+
 def test_a_job_from_submission_to_its_end() -> None:
     async def scenario(world: world_lib.World, caller: Caller) -> Any:
         answers = [
