Preempt less urgent jobs before other urgent ones

Cause: victims were chosen by discarded work alone. Change: units of urgent jobs are the last victims. Result: test_a_guaranteed_job_preempts_less_urgent_jobs_first fails without the change.

--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -95,7 +95,8 @@
 ) -> list[Victim]:
     """Returns the units that a job may preempt.
 
-    They are sorted by the work that a stop discards, least first.
+    Units of urgent jobs come last, as their callers are waiting; otherwise the
+    units are sorted by the work that a stop discards, least first.
 
     Args:
         workers: workers whose runs are considered.
@@ -122,6 +123,7 @@
     return sorted(
         by_unit.values(),
         key=lambda victim: (
+            victim.priority == guarantees.URGENT_PRIORITY,
             victim.lost_work(now_s),
             -victim.priority,
             str(victim.entries[0][1].name),
@@ -161,7 +163,7 @@
         demand: requirements of the unit to place.
         free_by_key: free resources by worker, including those of runs that are
             being stopped.
-        victims: units that may be stopped, least discarded work first.
+        victims: units that may be stopped, in the order of preference.
     """
     projected = dict(free_by_key)
     footprint = demand.step.footprint
@@ -194,7 +196,7 @@
     free_by_key: placement.FreeResources,
     picked: list[Victim],
 ) -> tuple[list[Victim], list[runs.IncarnationKey]] | None:
-    """Drops victims that needn't be stopped, most discarded work first."""
+    """Drops victims that needn't be stopped, the least preferred first."""
     kept = list(picked)
     assigned = None
     for victim in reversed(picked):
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -129,6 +129,14 @@
             log=lambda message, **_: self.logged_events.append(message),
         ).run()
 
+    def jobs_being_stopped(self) -> set[str]:
+        return {
+            str(entry.tracked.id)
+            for worker in self.engine.workers_by_incarnation.values()
+            for entry in worker.entries_by_key.values()
+            if entry.stop_requested
+        }
+
     def record(self) -> None:
         for tracked in list(self.engine.dirty_by_id.values()):
             self.revision += 1
@@ -617,6 +625,34 @@
     assert names.count("d" * 16) == 4
 
 
+# Guards against urgent runs that are discarded for another urgent job while
+# runs of less urgent jobs could be: seen in issue 20.
+def test_a_guaranteed_job_preempts_less_urgent_jobs_first() -> None:
+    harness = EngineHarness(2)
+    urgent = job(
+        "b" * 16, model.Step(1, WORKER), priority=0, account="no-guarantee"
+    )
+    batch = job("c" * 16, model.Step(1, WORKER, 30.0), priority=2)
+    worker_by_key: dict[runs.RunKey, int] = {}
+
+    def observe_all() -> None:
+        for key, number in worker_by_key.items():
+            harness.observe(number, running=just_started(key))
+
+    # The batch run has discarded more work by then, as it is the older one.
+    for submission in (batch, urgent):
+        for number, key in started(harness.submit(submission)):
+            worker_by_key[key] = number
+        observe_all()
+        harness.clock.advance(1.0)
+    harness.engine.put_job(job("d" * 16, model.Step(1, WORKER), priority=0))
+    for _ in range(4):
+        observe_all()
+        harness.plan()
+        harness.clock.advance(0.7)
+    assert harness.jobs_being_stopped() == {"c" * 16}
+
+
 def test_a_worker_that_fails_several_jobs_is_ejected() -> None:
     harness = EngineHarness(1)
     first = job("a" * 16)
