Retry a failed task on workers without a failure

Cause: placement didn't look at failures before a worker was ejected, which takes failures of two jobs. Change: workers on which runs have failed since the last success come last. Result: test_a_failed_task_is_retried_on_another_worker fails without the change.

--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -113,6 +113,7 @@
     order = sorted(
         slots,
         key=lambda key: (
+            _is_suspect(candidates, key),
             not _matches_affinity(candidates, step, key),
             slots[key] if size == 1 else -slots[key],
             _unused_share(candidates, step, available_by_key[key], key),
@@ -167,7 +168,14 @@
     if not fitting:
         return None
     keys = keys_by_rack[min(fitting)[2]]
-    order = sorted(keys, key=lambda key: (-slots[key], key.worker))
+    order = sorted(
+        keys,
+        key=lambda key: (
+            _is_suspect(candidates, key),
+            -slots[key],
+            key.worker,
+        ),
+    )
     return _assign(order, slots, size)
 
 
@@ -199,6 +207,14 @@
     return None
 
 
+def _is_suspect(candidates: Candidates, key: runs.IncarnationKey) -> bool:
+    """Returns whether runs have failed on the worker since its last success.
+
+    Whether the worker or the job was at fault isn't known then.
+    """
+    return bool(candidates.workers_by_key[key].health.failed_jobs)
+
+
 def _matches_affinity(
     candidates: Candidates, step: model.Step, key: runs.IncarnationKey
 ) -> bool:
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -653,6 +653,20 @@
     assert harness.jobs_being_stopped() == {"c" * 16}
 
 
+# Guards against a job that uses up its attempts on the worker that has just
+# failed it: seen on the grown site in issue 20.
+def test_a_failed_task_is_retried_on_another_worker() -> None:
+    harness = EngineHarness(2)
+    [(number, key)] = started(harness.submit(job()))
+    ends = ended(key, runs.EndCause.FAILED)
+    harness.observe(number, ended=ends)
+    harness.plan()
+    harness.record()
+    assert started([harness.observe(0), harness.observe(1)]) == [
+        (1 - number, runs.RunKey(key.task, 2))
+    ]
+
+
 def test_a_worker_that_fails_several_jobs_is_ejected() -> None:
     harness = EngineHarness(1)
     first = job("a" * 16)
