Move runs that can't end before their worker leaves

Cause: only runs that save their work moved off a draining worker, and of a gang only the members on that worker, which breaks the others. Change: at the notice, runs that aren't expected to end in the time that is left are stopped too, with all members of their gangs.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
+from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import ledger
 
@@ -250,26 +251,21 @@
         self._release_run(worker, refused, "start refused")
 
     def _evacuate(self, worker: fleet.TrackedWorker) -> None:
-        """Stops checkpointing runs, so that they resume on another worker.
-
-        Other runs continue: they may still end before the worker shuts down.
-        """
-        for entry in worker.entries_by_key.values():
-            if (
-                entry.step.checkpointing
-                and entry.is_current
-                and not entry.stop_requested
-            ):
-                entry.stop_requested = True
-                self._log(
-                    "run moved",
-                    job=entry.tracked.id,
-                    task=str(entry.name),
-                    run=entry.run,
-                    worker=worker.key.worker,
-                    leaves_in_s=worker.incarnation
-                    and worker.incarnation.leaves_in_s,
-                )
+        """Stops runs so that they start again on other workers."""
+        for entry in evacuation.runs_to_move(
+            worker, self.workers_by_incarnation, self._clock.monotonic()
+        ):
+            entry.stop_requested = True
+            self._log(
+                "run moved",
+                job=entry.tracked.id,
+                task=str(entry.name),
+                run=entry.run,
+                worker=worker.key.worker,
+                leaves_in_s=worker.incarnation
+                and worker.incarnation.leaves_in_s,
+            )
+        worker.evacuated = True
 
     def _remove_replaced_incarnations(
         self, agent: types.Address, key: runs.IncarnationKey
--- /dev/null
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -0,0 +1,73 @@
+"""Selects the runs to move off a worker that is about to shut down."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import runs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from pimentobridge.core.scheduling import fleet
+    from pimentobridge.core.scheduling import ledger
+
+
+def runs_to_move(
+    worker: fleet.TrackedWorker,
+    workers_by_incarnation: Mapping[runs.IncarnationKey, fleet.TrackedWorker],
+    now_s: float,
+) -> list[ledger.RunEntry]:
+    """Returns the runs to stop, so that they start again elsewhere.
+
+    These are the runs that save their work and, at the first report that the
+    worker drains, those that aren't expected to end before it may shut down.
+    All members of a gang are returned: one that loses a member has to start
+    again as a whole.
+
+    Args:
+        worker: the worker, which is draining.
+        workers_by_incarnation: the workers on which the other members may be.
+        now_s: current monotonic time.
+    """
+    leaves_in_s = None
+    if worker.incarnation is not None and not worker.evacuated:
+        leaves_in_s = worker.incarnation.leaves_in_s
+    return [
+        member
+        for entry in list(worker.entries_by_key.values())
+        if entry.is_current
+        and not entry.stop_requested
+        and _must_move(entry, leaves_in_s, now_s)
+        for member in _members(entry, workers_by_incarnation)
+        if not member.stop_requested
+    ]
+
+
+def _must_move(
+    entry: ledger.RunEntry, leaves_in_s: float | None, now_s: float
+) -> bool:
+    if entry.step.checkpointing:
+        return True
+    if entry.step.long_running or leaves_in_s is None:
+        return False
+    return entry.remaining_s(now_s) > leaves_in_s
+
+
+def _members(
+    entry: ledger.RunEntry,
+    workers_by_incarnation: Mapping[runs.IncarnationKey, fleet.TrackedWorker],
+) -> Iterator[ledger.RunEntry]:
+    """Yields the members of a run, which may be on several workers."""
+    for number, placed in enumerate(entry.unit.placements):
+        key = runs.IncarnationKey(placed.worker, placed.started_ms)
+        worker = workers_by_incarnation.get(key)
+        name = model.TaskName(*entry.name[:3], entry.unit.first + number)
+        if worker is not None:
+            member = worker.entries_by_key.get(
+                runs.RunKey(str(name), entry.run)
+            )
+            if member is not None:
+                yield member
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -25,6 +25,8 @@
     Attributes:
         last_report_s: monotonic time of the last report; before the first, the
             time at which this scheduler learned of the worker.
+        evacuated: the runs that wouldn't end before it shuts down have been
+            moved.
         agent: address of its agent; None if unknown.
         incarnation: properties that the worker reported; None before the
             first report.
@@ -44,6 +46,7 @@
 
     key: runs.IncarnationKey
     last_report_s: float
+    evacuated: bool = False
     agent: types.Address | None = None
     incarnation: runs.WorkerIncarnation | None = None
     entries_by_key: dict[runs.RunKey, ledger.RunEntry] = dataclasses.field(
--- a/pimentobridge/core/scheduling/holds.py
+++ b/pimentobridge/core/scheduling/holds.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 from pimentobridge.core.scheduling import placement
-from pimentobridge.core.scheduling import ranking
 
 if TYPE_CHECKING:
     from pimentobridge.core.jobs import model
@@ -65,19 +64,6 @@
         self._pending = remaining
 
 
-def remaining_s(entry: ledger.RunEntry, now_s: float) -> float:
-    """Returns the expected remaining time of a run, in seconds."""
-    if entry.stop_requested or not entry.is_current:
-        return 0.0
-    if entry.step.long_running:
-        return float("inf")
-    elapsed_s = entry.execution_time_s(now_s)
-    if entry.percent:
-        return elapsed_s * (100 - entry.percent) / entry.percent
-    estimate_s = entry.step.estimate_s or ranking.DEFAULT_ESTIMATE_S
-    return max(0.0, estimate_s - elapsed_s)
-
-
 def earliest_assignment(
     candidates: placement.Candidates, demand: placement.Demand, now_s: float
 ) -> list[runs.IncarnationKey] | None:
@@ -117,7 +103,7 @@
     Of runs that end at the same time, those on less used workers come first.
     """
     timed = [
-        (remaining_s(entry, now_s), worker, entry)
+        (entry.remaining_s(now_s), worker, entry)
         for worker in workers
         for entry in worker.entries_by_key.values()
     ]
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from pimentobridge.core import types
 
+# Run time assumed for tasks without an estimate.
+DEFAULT_ESTIMATE_S = 5.0
+
 
 @dataclasses.dataclass
 class TrackedJob:
@@ -116,6 +119,19 @@
         earlier_s = self.step.estimate_s * self.first_percent / 100
         return earlier_s + now_s - self.started_s
 
+    def remaining_s(self, now_s: float) -> float:
+        """Returns the expected remaining time, in seconds."""
+        if self.stop_requested or not self.is_current:
+            return 0.0
+        if self.step.long_running:
+            return float("inf")
+        elapsed_s = self.execution_time_s(now_s)
+        if self.percent:
+            return elapsed_s * (100 - self.percent) / self.percent
+        return max(
+            0.0, (self.step.estimate_s or DEFAULT_ESTIMATE_S) - elapsed_s
+        )
+
     @property
     def is_current(self) -> bool:
         """Whether this is the unit's active run and the job hasn't ended."""
--- a/pimentobridge/core/scheduling/ranking.py
+++ b/pimentobridge/core/scheduling/ranking.py
@@ -5,13 +5,10 @@
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
     from pimentobridge.core.jobs import model
-    from pimentobridge.core.scheduling import ledger
-
-# Run time assumed for tasks without an estimate.
-DEFAULT_ESTIMATE_S = 5.0
 
 
 def remaining_work(
@@ -30,7 +27,7 @@
         if unit.status is progress_lib.UnitStatus.DONE:
             continue
         step = tracked.step_of(step_number)
-        estimate_s = step.estimate_s or DEFAULT_ESTIMATE_S
+        estimate_s = step.estimate_s or ledger.DEFAULT_ESTIMATE_S
         work += step.footprint.dominant_share(capacity) * estimate_s * unit.size
     return work
 
--- a/pimentobridge/core/scheduling/stalls.py
+++ b/pimentobridge/core/scheduling/stalls.py
@@ -5,14 +5,13 @@
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.scheduling import fleet
-from pimentobridge.core.scheduling import ranking
+from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core.scheduling import engine as engine_lib
-    from pimentobridge.core.scheduling import ledger
 
 # Minimum time without progress before a run counts as stalled. Reports are sent
 # twice a second, and members of a gang may start late.
@@ -85,5 +84,5 @@
     if entry.percent:
         mean_interval_s = (entry.progressed_s - entry.started_s) / entry.percent
         return max(MIN_STALL_S, PROGRESS_INTERVAL_FACTOR * mean_interval_s)
-    estimate_s = entry.step.estimate_s or ranking.DEFAULT_ESTIMATE_S
+    estimate_s = entry.step.estimate_s or ledger.DEFAULT_ESTIMATE_S
     return max(MIN_STALL_S, ESTIMATE_FACTOR * estimate_s)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -467,6 +467,33 @@
     assert instructions.stops == (keys["a"],)
 
 
+def _moved_members(estimate_s: float, leaves_in_s: float) -> list[int]:
+    """Returns the workers of a gang that stop it when worker 0 drains."""
+    harness = EngineHarness(2)
+    gang = model.Step(2, WORKER, estimate_s, gang=True)
+    orders = started(harness.submit(job("a" * 16, gang)))
+    for number, key in orders:
+        harness.observe(number, running=just_started(key))
+    harness.incarnations[0] = msgspec.structs.replace(
+        harness.incarnations[0], draining=True, leaves_in_s=leaves_in_s
+    )
+    return [
+        number
+        for number, key in sorted(orders)
+        if harness.observe(number, running=just_started(key)).stops
+    ]
+
+
+# Guards against a gang that is lost with a worker that leaves before its end:
+# an urgent one was started again 22 s later on the grown site, issue 20.
+def test_a_run_that_cannot_end_in_time_moves_off_a_draining_worker() -> None:
+    assert _moved_members(6.0, 2.0) == [0, 1]
+
+
+def test_a_run_that_ends_in_time_stays_on_a_draining_worker() -> None:
+    assert _moved_members(2.0, 6.0) == []
+
+
 def test_a_terminated_worker_releases_its_runs_at_once() -> None:
     harness = EngineHarness(2)
     ((number, key),) = started(harness.submit(job()))
