Relay writes through any entry that reaches the store

Cause: a write was relayed to one entry only, the scheduler of an old copy or the first address. Change: up to three entries are asked in turn, first the one that supplies items.

--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -8,7 +8,6 @@
 import result
 import trio
 
-from pimentobridge.core import types
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import leadership as leadership_lib
@@ -22,6 +21,7 @@
 
 if TYPE_CHECKING:
     from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core import types
     from pimentobridge.core.jobs import configuration
     from pimentobridge.core.jobs import model
     from pimentobridge.platform import advice as advice_service
@@ -30,6 +30,7 @@
 
 WRITE_RETRY_PAUSE_S = 0.05
 RELAY_TIMEOUT_S = 0.6
+MAX_RELAY_PEERS = 3
 # Limit of remembered jobs whose writes may still take effect; the oldest are
 # forgotten first.
 MAX_UNCERTAIN_WRITES = 10_000
@@ -345,21 +346,39 @@
     async def _relay(
         self, job_id: types.JobId, value: bytes | None
     ) -> control.WriteOutcome:
-        """Asks another entry to make a write and waits for its answer."""
+        """Asks other entries in turn to make a write, until one has made it."""
+        outcome = control.WriteOutcome.NOT_WRITTEN
+        for peer in self._relay_peers():
+            answer = await self._relay_through(peer, job_id, value)
+            if answer in (
+                control.WriteOutcome.WRITTEN,
+                control.WriteOutcome.ABSENT,
+            ):
+                return answer
+            if answer is control.WriteOutcome.UNKNOWN:
+                outcome = answer
+        return outcome
+
+    def _relay_peers(self) -> list[types.Address]:
+        """Returns the entries to ask, the likeliest to reach the store first.
+
+        That is the one that has just supplied items of the store, and then the
+        scheduler, as it renews a lease there.
+        """
+        preferred = (self.sharing.working_source, self.leadership.holder)
         peers = self._peers()
-        if not peers:
-            return control.WriteOutcome.NOT_WRITTEN
-        # The scheduler is the entry most likely to reach the store, as it
-        # renews a lease there.
-        holder = self.leadership.holder
-        peer = holder if holder in peers else peers[0]
+        peers.sort(key=lambda peer: peer not in preferred)
+        peers.sort(key=lambda peer: peer != preferred[0])
+        return peers[:MAX_RELAY_PEERS]
+
+    async def _relay_through(
+        self, peer: types.Address, job_id: types.JobId, value: bytes | None
+    ) -> control.WriteOutcome:
+        """Asks another entry to make a write and waits for its answer."""
         self._relay_sequence += 1
         sequence = self._relay_sequence
         answered = self._relay_events[sequence] = trio.Event()
-        self._endpoint.send(
-            types.Address(peer or peers[0]),
-            control.WriteRelay(sequence, job_id, value),
-        )
+        self._endpoint.send(peer, control.WriteRelay(sequence, job_id, value))
         with trio.move_on_after(RELAY_TIMEOUT_S):
             await answered.wait()
         del self._relay_events[sequence]
--- a/pimentobridge/daemons/mirror_sharing.py
+++ b/pimentobridge/daemons/mirror_sharing.py
@@ -24,6 +24,8 @@
     from pimentobridge.protocol import transport
 
 QUERY_INTERVAL_S = 0.25
+# An entry that hasn't answered for this time is replaced as the source.
+SOURCE_TIMEOUT_S = 0.5
 # The store answers a watch within its wait; an older mirror may miss changes.
 OLD_MIRROR_S = store_mirror.WATCH_WAIT_S + 0.25
 # Limit on the values in a copy; the next query asks for the rest.
@@ -57,10 +59,16 @@
         self._peers = peers
         self._clock = clock
         self.source: types.Address | None = None
-        self._source_answered_s = clock.monotonic()
+        self._source_answered_s = float("-inf")
         # Store revision up to which copies have supplied all changes.
         self._copied_by_prefix = dict.fromkeys(mirrors, 0)
 
+    @property
+    def working_source(self) -> types.Address | None:
+        """The entry that supplies items at present; None if none does."""
+        silent_s = self._clock.monotonic() - self._source_answered_s
+        return self.source if silent_s < SOURCE_TIMEOUT_S else None
+
     async def run(self) -> None:
         """Asks for items while a mirror is out of date, until cancelled."""
         while True:
@@ -95,8 +103,7 @@
         if not peers:
             self.source = None
             return
-        silent_s = self._clock.monotonic() - self._source_answered_s
-        if self.source in peers and silent_s < 2 * QUERY_INTERVAL_S:
+        if self.working_source in peers:
             return
         following = [
             peer for peer in peers if self.source is None or peer > self.source
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -62,13 +62,18 @@
         return sent[0]["status"], json.loads(answer) if answer else None
 
 
-def run_scenario(scenario: Any, *, configured: bool = True) -> Any:
+def run_scenario(
+    scenario: Any, *, configured: bool = True, entries: int = 2
+) -> Any:
     """Returns a scenario's result from a deployment in virtual time."""
 
     async def main() -> Any:
         async with trio.open_nursery() as nursery:
             world = world_lib.World(
-                rng=random.Random(1), nursery=nursery, entries=2, workers=2
+                rng=random.Random(1),
+                nursery=nursery,
+                entries=entries,
+                workers=2,
             )
             if configured:
                 world.put_configuration()
@@ -316,6 +321,33 @@
     assert run_scenario(scenario) == (200, {"state": "completed"})
 
 
+# Guards against writes that are relayed only to the scheduler, though it is cut
+# off from the store too: five callers of one zone in a play of issue 20.
+@pytest.mark.parametrize("mode", list(faulty_client.OutageMode))
+def test_an_isolated_entry_submits_through_any_other(
+    mode: faulty_client.OutageMode,
+) -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        leader = next(
+            number
+            for number, host in enumerate(world.entries)
+            if host.entry is not None and host.entry.leadership.is_leader
+        )
+        for number in (leader, leader - 1):
+            node = world.entries[number].node
+            world.store_faults.outage_by_node[node] = mode
+        await trio.sleep(1.0)
+        status, _ = await caller.call(
+            "POST",
+            f"/queue-1/{JOB_ID}",
+            VALID_JOB,
+            entry=(leader - 1) % len(world.entries),
+        )
+        return status
+
+    assert run_scenario(scenario, entries=3) == 200
+
+
 # Guards against an end that callers of a cut-off entry learn only when the
 # store answers that entry again: found with issue 20.
 @pytest.mark.parametrize("mode", list(faulty_client.OutageMode))
