Leave the balancer's rotation while cut off from everybody

Cause: readiness asked for a copy of the store, whatever its age. Change: an entry that neither the store nor another entry has answered for 3 s isn't ready. Entries that the store doesn't answer say so to each other, so an outage of the store alone takes none out of rotation. Result: test_an_entry_is_ready_unless_it_is_cut_off_from_all_others fails without the change.

--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -128,6 +128,7 @@
             not self.draining
             and self.configuration is not None
             and self.mirror.loaded
+            and not self.sharing.isolated
         )
 
     @property
--- a/pimentobridge/daemons/mirror_sharing.py
+++ b/pimentobridge/daemons/mirror_sharing.py
@@ -28,6 +28,8 @@
 SOURCE_TIMEOUT_S = 0.5
 # The store answers a watch within its wait; an older mirror may miss changes.
 OLD_MIRROR_S = store_mirror.WATCH_WAIT_S + 0.25
+# Longer than an unanswered watch, and than a query of each of several entries.
+ISOLATED_S = 3.0
 # Limit on the values in a copy; the next query asks for the rest.
 MAX_COPY_BYTES = 128 * 1024
 
@@ -60,6 +62,8 @@
         self._clock = clock
         self.source: types.Address | None = None
         self._source_answered_s = float("-inf")
+        # When any other entry last answered.
+        self._heard_s = clock.monotonic()
         # Store revision up to which copies have supplied all changes.
         self._copied_by_prefix = dict.fromkeys(mirrors, 0)
 
@@ -69,6 +73,16 @@
         silent_s = self._clock.monotonic() - self._source_answered_s
         return self.source if silent_s < SOURCE_TIMEOUT_S else None
 
+    @property
+    def isolated(self) -> bool:
+        """Whether neither the store nor another entry has answered lately."""
+        now_s = self._clock.monotonic()
+        heard_s = max(
+            self._heard_s,
+            *(mirror.synchronised_s for mirror in self._mirrors.values()),
+        )
+        return now_s - heard_s > ISOLATED_S
+
     async def run(self) -> None:
         """Asks for items while a mirror is out of date, until cancelled."""
         while True:
@@ -115,7 +129,12 @@
     ) -> None:
         """Answers with the items that the sender lacks."""
         mirror = self._mirrors.get(query.prefix)
-        if mirror is None or self._is_old(mirror):
+        if mirror is None:
+            return
+        if self._is_old(mirror):
+            self._endpoint.send(
+                sender, control.MirrorCopy(query.prefix, current=False)
+            )
             return
         newer = [
             item
@@ -128,13 +147,17 @@
         if len(copied) < len(newer):
             revision = min(revision, copied[-1].revision)
         self._endpoint.send(
-            sender, control.MirrorCopy(query.prefix, revision, copied)
+            sender,
+            control.MirrorCopy(
+                query.prefix, current=True, revision=revision, items=copied
+            ),
         )
 
     def on_copy(self, sender: types.Address, copy: control.MirrorCopy) -> None:
         """Applies the items that another entry has supplied."""
+        self._heard_s = self._clock.monotonic()
         mirror = self._mirrors.get(copy.prefix)
-        if mirror is None or sender != self.source:
+        if mirror is None or sender != self.source or not copy.current:
             return
         self._source_answered_s = self._clock.monotonic()
         for item in copy.items:
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -128,13 +128,16 @@
 class MirrorCopy(messages.Message, frozen=True):
     """Items that are newer than the revision in a `MirrorQuery`.
 
-    Only an entry that the store answers sends it. Deleted items aren't listed.
+    Deleted items aren't listed.
 
     Attributes:
+        current: whether the store answers the sender; without that, the copy
+            holds nothing.
         revision: store revision up to which the receiver then has all changes.
         items: the items.
     """
 
     prefix: str
-    revision: int
-    items: tuple[MirroredItem, ...]
+    current: bool
+    revision: int = 0
+    items: tuple[MirroredItem, ...] = ()
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -376,3 +376,23 @@
         return (await caller.call("GET", f"/queue-1/{JOB_ID}"))[1]
 
     assert run_scenario(scenario) == {"state": "completed"}
+
+
+# Guards against callers that stay with an entry that can tell them nothing new:
+# found with issue 20.
+def test_an_entry_is_ready_unless_it_is_cut_off_from_all_others() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        async def status() -> int:
+            await trio.sleep(5.0)
+            return (await caller.call("GET", "/v1/readiness"))[0]
+
+        statuses = [await status()]
+        world.store_faults.outage = faulty_client.OutageMode.RESET
+        statuses.append(await status())
+        world.network.faults.isolated.add(world.entries[0].address)
+        statuses.append(await status())
+        world.store_faults.outage = None
+        statuses.append(await status())
+        return statuses
+
+    assert run_scenario(scenario) == [200, 200, 503, 200]
