Don't relay writes to entries that lack the store as well

Cause: each of up to three entries was asked, though they had just said that the store doesn't answer them. Change: such entries are left out for 1 s. Result: test_no_write_is_relayed_while_the_store_is_away_for_all fails without the change.

--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -367,7 +367,8 @@
         scheduler, as it renews a lease there.
         """
         preferred = (self.sharing.working_source, self.leadership.holder)
-        peers = self._peers()
+        away = self.sharing.away_peers()
+        peers = [peer for peer in self._peers() if peer not in away]
         peers.sort(key=lambda peer: peer not in preferred)
         peers.sort(key=lambda peer: peer != preferred[0])
         return peers[:MAX_RELAY_PEERS]
--- a/pimentobridge/daemons/mirror_sharing.py
+++ b/pimentobridge/daemons/mirror_sharing.py
@@ -28,6 +28,8 @@
 SOURCE_TIMEOUT_S = 0.5
 # The store answers a watch within its wait; an older mirror may miss changes.
 OLD_MIRROR_S = store_mirror.WATCH_WAIT_S + 0.25
+# Time for which an entry's word that the store doesn't answer it holds.
+AWAY_S = 1.0
 # Longer than an unanswered watch, and than a query of each of several entries.
 ISOLATED_S = 3.0
 # Limit on the values in a copy; the next query asks for the rest.
@@ -62,6 +64,8 @@
         self._clock = clock
         self.source: types.Address | None = None
         self._source_answered_s = float("-inf")
+        # When another entry last said that the store doesn't answer it.
+        self._away_s_by_peer: dict[types.Address, float] = {}
         # When any other entry last answered.
         self._heard_s = clock.monotonic()
         # Store revision up to which copies have supplied all changes.
@@ -73,6 +77,15 @@
         silent_s = self._clock.monotonic() - self._source_answered_s
         return self.source if silent_s < SOURCE_TIMEOUT_S else None
 
+    def away_peers(self) -> set[types.Address]:
+        """Returns the entries that have just said that they lack the store."""
+        now_s = self._clock.monotonic()
+        return {
+            peer
+            for peer, said_s in self._away_s_by_peer.items()
+            if now_s - said_s < AWAY_S
+        }
+
     @property
     def isolated(self) -> bool:
         """Whether neither the store nor another entry has answered lately."""
@@ -156,6 +169,10 @@
     def on_copy(self, sender: types.Address, copy: control.MirrorCopy) -> None:
         """Applies the items that another entry has supplied."""
         self._heard_s = self._clock.monotonic()
+        if copy.current:
+            self._away_s_by_peer.pop(sender, None)
+        else:
+            self._away_s_by_peer[sender] = self._heard_s
         mirror = self._mirrors.get(copy.prefix)
         if mirror is None or sender != self.source or not copy.current:
             return
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -247,6 +247,19 @@
     assert started == 0
 
 
+# Guards against refusals that wait for entries which are known to lack the store
+# as well: seen in a trial of relays through several entries, issue 20.
+def test_no_write_is_relayed_while_the_store_is_away_for_all() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        world.store_faults.outage = faulty_client.OutageMode.BUSY
+        await trio.sleep(2.0)
+        start_s = trio.current_time()
+        await caller.call("POST", f"/queue-1/{JOB_ID}", VALID_JOB)
+        return trio.current_time() - start_s
+
+    assert run_scenario(scenario, entries=3) == 0.0
+
+
 def test_a_write_that_may_take_effect_is_not_reported_as_not_run() -> None:
     async def scenario(world: world_lib.World, caller: Caller) -> Any:
         world.store_faults.late_execution_rate = 1.0
