--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -247,8 +247,8 @@
     assert started == 0
 
 
-# Guards against refusals that wait for entries which are known to lack the store
-# as well: seen in a trial of relays through several entries, issue 20.
+# Guards against refusals that wait for entries which are known to lack the
+# store as well: seen in a trial of relays through several entries, issue 20.
 def test_no_write_is_relayed_while_the_store_is_away_for_all() -> None:
     async def scenario(world: world_lib.World, caller: Caller) -> Any:
         world.store_faults.outage = faulty_client.OutageMode.BUSY
