Split relays, occurrences and advice off from larger modules

Change: relays are in daemons/write_relay.py, due occurrences in core/scheduling/occurrences.py; the adviser asks the cache itself. No change of logic.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -301,7 +301,9 @@
                 entry.update_progress(task.percent, self._clock.monotonic())
                 self._update_checkpoint(entry, task.checkpoint)
             elif task.key not in ended:
-                untracked[task.key] = self._footprint_of(task.key)
+                untracked[task.key] = ledger.footprint_of(
+                    task.key, self.jobs_by_id
+                )
         if untracked.keys() != worker.untracked_by_key.keys():
             self.needs_pass = True
         worker.set_untracked(untracked)
@@ -325,16 +327,6 @@
             if tracked.new_checkpoints and due and not tracked.state.ended:
                 self.mark_changed(tracked)
 
-    def _footprint_of(self, key: runs.RunKey) -> model.Resources:
-        try:
-            name = model.TaskName.parse(key.task)
-        except ValueError:
-            return model.NO_RESOURCES
-        tracked = self.jobs_by_id.get(name.job)
-        if tracked is None or name.step >= len(tracked.job.steps):
-            return model.NO_RESOURCES
-        return tracked.step_of(name.step).footprint
-
     # Ends of runs.
 
     def _on_end(self, worker: fleet.TrackedWorker, end: runs.EndedRun) -> None:
@@ -472,71 +464,19 @@
         Time alone can change it: a worker's reports stop, or its ejection
         ends.
         """
-        now_s = self._clock.monotonic()
-        placeable = frozenset(
-            key
-            for key, worker in self.workers_by_incarnation.items()
-            if worker.takes_tasks(now_s)
-        )
+        placeable = frozenset(worker.key for worker in self.placeable_workers())
         if placeable != self._placeable:
             self._placeable = placeable
             self.needs_pass = True
 
-    def open_due_occurrences(self, early_s: float) -> None:
-        """Opens the occurrences that are due.
-
-        Args:
-            early_s: an occurrence is opened half this time before it is due,
-                in seconds.
-        """
-        now_ms = self._clock.now().timestamp() * 1000
-        for tracked in self.jobs_by_id.values():
-            if tracked.state.ended:
-                continue
-            job, progress = tracked.job, tracked.progress
-            while True:
-                number = progress.finished_occurrences + len(
-                    progress.occurrences_by_number
-                )
-                if number >= max(1, job.occurrences):
-                    break
-                due_ms = job.first_due_ms + number * job.interval_ms
-                if job.occurrences and now_ms < due_ms - early_s * 1000 / 2:
-                    break
-                progress.occurrences_by_number[number] = (
-                    progress_lib.new_occurrence(job)
-                )
-                self.needs_pass = True
-
-    # Answers of the external policy.
-
-    def next_question(self) -> advice_lib.Question | None:
-        """Returns the next question for the policy's service, if any."""
+    def placeable_workers(self) -> list[fleet.TrackedWorker]:
+        """Returns the workers that take new tasks at the moment."""
         now_s = self._clock.monotonic()
-        return self.advice.next_question(
-            (
-                worker
-                for worker in self.workers_by_incarnation.values()
-                if worker.takes_tasks(now_s)
-            ),
-            now_s,
-        )
-
-    def on_advice(
-        self,
-        question: advice_lib.Question,
-        answer: advice_lib.Answer,
-        asked_s: float,
-    ) -> None:
-        """Stores the policy's answer to a question.
-
-        Args:
-            question: the question that was asked.
-            answer: the policy's answer.
-            asked_s: monotonic time at which the question was sent.
-        """
-        self.advice.on_answer(question, answer, asked_s)
-        self.needs_pass = True
+        return [
+            worker
+            for worker in self.workers_by_incarnation.values()
+            if worker.takes_tasks(now_s)
+        ]
 
     # Records.
 
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -10,6 +10,8 @@
 from pimentobridge.core.jobs import runs
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from pimentobridge.core import types
 
 # Run time assumed for tasks without an estimate.
@@ -140,3 +142,17 @@
             and self.unit.status is progress_lib.UnitStatus.ACTIVE
             and not self.tracked.state.ended
         )
+
+
+def footprint_of(
+    key: runs.RunKey, jobs_by_id: Mapping[types.JobId, TrackedJob]
+) -> model.Resources:
+    """Returns what a listed run reserves; nothing if its job isn't tracked."""
+    try:
+        name = model.TaskName.parse(key.task)
+    except ValueError:
+        return model.NO_RESOURCES
+    tracked = jobs_by_id.get(name.job)
+    if tracked is None or name.step >= len(tracked.job.steps):
+        return model.NO_RESOURCES
+    return tracked.step_of(name.step).footprint
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -61,11 +61,7 @@
         engine = self._engine
         now_s = self._clock.monotonic()
         engine.needs_pass = False
-        candidates = placement.Candidates(
-            worker
-            for worker in engine.workers_by_incarnation.values()
-            if worker.takes_tasks(now_s)
-        )
+        candidates = placement.Candidates(engine.placeable_workers())
         entitled = self._entitled_jobs()
         capacity = self._largest_worker()
         open_jobs = [
--- a/pimentobridge/daemons/advice.py
+++ b/pimentobridge/daemons/advice.py
@@ -51,7 +51,9 @@
             return
         while True:
             asked_s = self._clock.monotonic()
-            question = self._engine.next_question()
+            question = self._engine.advice.next_question(
+                self._engine.placeable_workers(), asked_s
+            )
             if question is None:
                 await trio.sleep(POLL_INTERVAL_S)
                 continue
@@ -73,7 +75,10 @@
                 ),
             )
             if isinstance(answer, result.Ok):
-                self._engine.on_advice(question, answer.ok_value, asked_s)
+                self._engine.advice.on_answer(
+                    question, answer.ok_value, asked_s
+                )
+                self._engine.needs_pass = True
                 self._on_answer()
             else:
                 await trio.sleep(RETRY_DELAY_S)
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -15,6 +15,7 @@
 from pimentobridge.daemons import mirror_sharing
 from pimentobridge.daemons import scheduling
 from pimentobridge.daemons import store_mirror
+from pimentobridge.daemons import write_relay
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import operator_configuration
 from pimentobridge.protocol import control
@@ -29,8 +30,6 @@
     from pimentobridge.protocol import transport
 
 WRITE_RETRY_PAUSE_S = 0.05
-RELAY_TIMEOUT_S = 0.6
-MAX_RELAY_PEERS = 3
 # Limit of remembered jobs whose writes may still take effect; the oldest are
 # forgotten first.
 MAX_UNCERTAIN_WRITES = 10_000
@@ -74,11 +73,7 @@
         self._created_s = clock.monotonic()
         self.scheduler: scheduling.Scheduler | None = None
         self.draining = False
-        self._relay_events: dict[int, trio.Event] = {}
-        self._relay_results: dict[int, control.WriteOutcome] = {}
-        self._relay_sequence = 0
         self._uncertain_writes: dict[types.JobId, None] = {}
-        self._nursery: trio.Nursery | None = None
         self.mirror = store_mirror.StoreMirror(
             store=store,
             prefix=keys.PREFIX,
@@ -108,16 +103,18 @@
             nonce=nonce,
             clock=clock,
         )
+        self._relay = write_relay.Relay(
+            endpoint=endpoint, peers=self._relay_peers
+        )
 
     async def run(self) -> None:
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             nursery.start_soon(self.mirror.run)
             nursery.start_soon(self.configuration_mirror.run)
             nursery.start_soon(self.leadership.run)
             nursery.start_soon(self._announce)
-            nursery.start_soon(self._receive_messages)
+            nursery.start_soon(self._receive_messages, nursery)
             nursery.start_soon(self._run_terms)
             nursery.start_soon(self.sharing.run)
 
@@ -156,6 +153,19 @@
         own = self._endpoint.address
         return [peer for peer in self.entries() if peer != own]
 
+    def _relay_peers(self) -> list[types.Address]:
+        """Returns the entries to relay writes to, the likeliest first.
+
+        That is the one that has just supplied items of the store, and then the
+        scheduler, as it renews a lease there.
+        """
+        preferred = (self.sharing.working_source, self.leadership.holder)
+        away = self.sharing.away_peers()
+        peers = [peer for peer in self._peers() if peer not in away]
+        peers.sort(key=lambda peer: peer not in preferred)
+        peers.sort(key=lambda peer: peer != preferred[0])
+        return peers
+
     def gauges(self) -> dict[str, float]:
         """Returns this entry's gauges by metric name."""
         version = self.configuration.version if self.configuration else 0
@@ -220,7 +230,7 @@
         # written" would be wrong.
         maybe_written = job_id in self._uncertain_writes
         while self._clock.monotonic() < deadline_s:
-            for write in (self._write_directly, self._relay):
+            for write in (self._write_directly, self._relay.write):
                 outcome = await write(job_id, value)
                 if outcome in (
                     control.WriteOutcome.WRITTEN,
@@ -344,63 +354,18 @@
             count += progress.state is progress_lib.JobState.QUEUED
         return count
 
-    async def _relay(
-        self, job_id: types.JobId, value: bytes | None
-    ) -> control.WriteOutcome:
-        """Asks other entries in turn to make a write, until one has made it."""
-        outcome = control.WriteOutcome.NOT_WRITTEN
-        for peer in self._relay_peers():
-            answer = await self._relay_through(peer, job_id, value)
-            if answer in (
-                control.WriteOutcome.WRITTEN,
-                control.WriteOutcome.ABSENT,
-            ):
-                return answer
-            if answer is control.WriteOutcome.UNKNOWN:
-                outcome = answer
-        return outcome
-
-    def _relay_peers(self) -> list[types.Address]:
-        """Returns the entries to ask, the likeliest to reach the store first.
-
-        That is the one that has just supplied items of the store, and then the
-        scheduler, as it renews a lease there.
-        """
-        preferred = (self.sharing.working_source, self.leadership.holder)
-        away = self.sharing.away_peers()
-        peers = [peer for peer in self._peers() if peer not in away]
-        peers.sort(key=lambda peer: peer not in preferred)
-        peers.sort(key=lambda peer: peer != preferred[0])
-        return peers[:MAX_RELAY_PEERS]
-
-    async def _relay_through(
-        self, peer: types.Address, job_id: types.JobId, value: bytes | None
-    ) -> control.WriteOutcome:
-        """Asks another entry to make a write and waits for its answer."""
-        self._relay_sequence += 1
-        sequence = self._relay_sequence
-        answered = self._relay_events[sequence] = trio.Event()
-        self._endpoint.send(peer, control.WriteRelay(sequence, job_id, value))
-        with trio.move_on_after(RELAY_TIMEOUT_S):
-            await answered.wait()
-        del self._relay_events[sequence]
-        return self._relay_results.pop(sequence, control.WriteOutcome.UNKNOWN)
-
     # Messages from agents and other entries.
 
-    async def _receive_messages(self) -> None:
+    async def _receive_messages(self, nursery: trio.Nursery) -> None:
         while True:
             envelope = await self._endpoint.receive()
             message = envelope.message
             if isinstance(message, control.WorkerReport):
                 self._on_report(message)
             elif isinstance(message, control.WriteRelay):
-                self._start_serving_relay(envelope.sender, message)
+                nursery.start_soon(self._serve_relay, envelope.sender, message)
             elif isinstance(message, control.WriteRelayed):
-                answered = self._relay_events.get(message.sequence)
-                if answered is not None:
-                    self._relay_results[message.sequence] = message.outcome
-                    answered.set()
+                self._relay.on_outcome(message)
             elif isinstance(message, control.MirrorQuery):
                 self.sharing.on_query(envelope.sender, message)
             elif isinstance(message, control.MirrorCopy):
@@ -422,12 +387,6 @@
         if holder is not None and holder != self._endpoint.address:
             self._endpoint.send(holder, report)
 
-    def _start_serving_relay(
-        self, sender: types.Address, message: control.WriteRelay
-    ) -> None:
-        if self._nursery is not None:
-            self._nursery.start_soon(self._serve_relay, sender, message)
-
     async def _serve_relay(
         self, sender: types.Address, message: control.WriteRelay
     ) -> None:
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -10,6 +10,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine as engine_lib
+from pimentobridge.core.scheduling import occurrences
 from pimentobridge.core.scheduling import orders
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import stalls
@@ -276,7 +277,9 @@
     def _run_step(self) -> None:
         engine = self.engine
         engine.declare_lost()
-        engine.open_due_occurrences(self._settings.early_s)
+        occurrences.open_due(
+            engine, early_s=self._settings.early_s, clock=self._clock
+        )
         engine.detect_placeable_changes()
         engine.record_checkpoints()
         self._stalls.run()
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -14,6 +14,7 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine as engine_lib
 from pimentobridge.core.scheduling import health
+from pimentobridge.core.scheduling import occurrences
 from pimentobridge.core.scheduling import orders as orders_lib
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import reclaim
@@ -122,7 +123,7 @@
 
     def plan(self) -> None:
         self.engine.declare_lost()
-        self.engine.open_due_occurrences(0.25)
+        occurrences.open_due(self.engine, early_s=0.25, clock=self.clock)
         planner_lib.Planner(
             self.engine,
             clock=self.clock,
