--- a/pimentobridge/daemons/mirror_sharing.py
+++ b/pimentobridge/daemons/mirror_sharing.py
@@ -159,6 +159,16 @@
         revision = mirror.revision
         if len(copied) < len(newer):
             revision = min(revision, copied[-1].revision)
+        if copied:
+            logs.event(
+                "items to another entry",
+                receiver=sender,
+                prefix=query.prefix,
+                items=len(copied),
+                bytes=sum(len(item.value) for item in copied),
+                known=query.revision,
+                revision=revision,
+            )
         self._endpoint.send(
             sender,
             control.MirrorCopy(
@@ -187,6 +197,7 @@
                 source=sender,
                 prefix=copy.prefix,
                 items=len(copy.items),
+                bytes=sum(len(item.value) for item in copy.items),
                 revision=copy.revision,
             )
 
--- a/pimentobridge/daemons/store_mirror.py
+++ b/pimentobridge/daemons/store_mirror.py
@@ -19,6 +19,8 @@
 # this time and the margin that the client adds to it.
 WATCH_WAIT_S = 1.5
 RETRY_PAUSE_S = 0.1
+# Answers with values of at least this size are logged, with their times.
+LOGGED_ANSWER_BYTES = 64 * 1024
 
 
 class StoreMirror:
@@ -99,11 +101,13 @@
         read_by_key: dict[str, kv_store.Item] = {}
         after, first_revision = "", None
         while True:
+            called_s = self._clock.monotonic()
             response = await self._store.page(self._prefix, after=after)
             if isinstance(response, result.Err):
                 self._set_reachable(False, response.err_value.value)
                 return False
             page = response.ok_value
+            self._log_large_answer(page.items, called_s)
             if first_revision is None:
                 first_revision = page.store_revision
             read_by_key |= {item.key: item for item in page.items}
@@ -124,6 +128,7 @@
     async def _watch(self) -> None:
         """Applies changes until the store has dropped the ones needed next."""
         while True:
+            called_s = self._clock.monotonic()
             changes = await self._store.watch(
                 self._prefix,
                 after_revision=self.revision,
@@ -131,6 +136,7 @@
             )
             if isinstance(changes, result.Ok):
                 self._set_reachable(True, "watch succeeded")
+                self._log_large_answer(changes.ok_value.items, called_s)
                 for item in changes.ok_value.items:
                     self.offer(item)
                 self._advance(changes.ok_value.store_revision)
@@ -151,6 +157,20 @@
             if (await self._store.get(self._prefix)).is_ok():
                 return
 
+    def _log_large_answer(
+        self, items: list[kv_store.Item], called_s: float
+    ) -> None:
+        size = sum(len(item.value or b"") for item in items)
+        if size >= LOGGED_ANSWER_BYTES:
+            logs.event(
+                "items from the store",
+                prefix=self._prefix,
+                items=len(items),
+                bytes=size,
+                revision=max(item.revision for item in items),
+                took_s=round(self._clock.monotonic() - called_s, 3),
+            )
+
     def _advance(self, revision: int) -> None:
         self.synchronised_s = self._clock.monotonic()
         self.revision = max(self.revision, revision)
