Don't cut off answers that keep arriving

Cause: a call's timeout covered its whole answer. A read was abandoned after 0.8 s and a watch 0.9 s after its wait, so on a link of 5 Mbit/s an answer of more than half a megabyte never arrived, and each retry began anew.

An answer that has begun to arrive now extends the deadline; silence ends the call. A probe of the store asks for a key that no item has, in place of the whole document. The same held for pages of the jobs' mirror, of up to 1 MB.

--- a/pimentobridge/daemons/store_mirror.py
+++ b/pimentobridge/daemons/store_mirror.py
@@ -154,7 +154,8 @@
         """
         while True:
             await trio.sleep(RETRY_PAUSE_S)
-            if (await self._store.get(self._prefix)).is_ok():
+            # No item has this key, so that the answer is always short.
+            if (await self._store.get(f"{self._prefix}?")).is_ok():
                 return
 
     def _log_large_answer(
--- a/pimentobridge/platform/http_client.py
+++ b/pimentobridge/platform/http_client.py
@@ -13,6 +13,9 @@
 KEEP_ALIVE_S = 20.0
 CONNECT_TIMEOUT_S = 0.7
 MAX_CONNECTIONS = 16
+# An answer that has begun to arrive is abandoned only after this time without
+# any of it, as its size and so its time on a slow link have no limit here.
+PROGRESS_TIMEOUT_S = 1.0
 
 
 class Failure(enum.Enum):
@@ -54,7 +57,8 @@
         Args:
             method: HTTP method.
             path: path and query.
-            timeout_s: seconds until the call is abandoned.
+            timeout_s: seconds until the call is abandoned, unless its
+                response has begun to arrive and goes on to.
             body: object to send as JSON; None for no body.
             headers: additional headers.
         """
@@ -66,16 +70,22 @@
     Args:
         address: `IP:PORT`.
         max_connections: limit on concurrent connections.
+        network: opens the connections; None for the operating system's.
     """
 
     def __init__(
-        self, address: str, *, max_connections: int = MAX_CONNECTIONS
+        self,
+        address: str,
+        *,
+        max_connections: int = MAX_CONNECTIONS,
+        network: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
         self._base = f"http://{address}"
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
             max_keepalive_connections=max_connections,
             keepalive_expiry=KEEP_ALIVE_S,
+            network_backend=network,
         )
 
     async def call(
@@ -93,7 +103,7 @@
             method: HTTP method.
             path: path and query.
             timeout_s: seconds until the call is abandoned and its connection
-                closed.
+                closed, unless its response has begun to arrive and goes on to.
             body: object to send as JSON; None for no body.
             headers: additional headers.
 
@@ -111,14 +121,15 @@
             "write": timeout_s,
         }
         try:
-            with trio.fail_after(timeout_s):
-                response = await self._pool.request(
+            with trio.fail_after(timeout_s) as scope:
+                async with self._pool.stream(
                     method,
                     self._base + path,
                     headers=list(sent_headers.items()),
                     content=content,
                     extensions={"timeout": timeouts},
-                )
+                ) as response:
+                    received = await _received(response, scope)
         except (
             httpcore.ConnectError,
             httpcore.ConnectTimeout,
@@ -132,7 +143,20 @@
             trio.TooSlowError,
         ):
             return Failure.NO_ANSWER
-        return Answer(response.status, _decoded(response.content))
+        return Answer(response.status, _decoded(received))
+
+
+async def _received(
+    response: httpcore.Response, scope: trio.CancelScope
+) -> bytes:
+    """Returns the body; each part of it extends the deadline of the scope."""
+    parts = []
+    async for part in response.aiter_stream():
+        parts.append(part)
+        scope.deadline = max(
+            scope.deadline, trio.current_time() + PROGRESS_TIMEOUT_S
+        )
+    return b"".join(parts)
 
 
 def _decoded(content: bytes) -> dict[str, Any]:
