Follow the configuration in compressed parts from processes with fast links

Cause: every entry read every version in full from the store, base64 in JSON: 0.8 MB for 2,800 routes, 1.3 s of an idle link of 5 Mbit/s. A watch that was behind got all versions since.

Now agents, which have fast links, read the document while somebody asks for it, the same few for all entries of a region. An entry on a slow link gets the newest version compressed in parts of 64 KB, one at a time; a lost part is asked for again, from the next source if need be, and what has arrived is kept. Whoever is out of date falls back: to other sources, to entries, to the store. An entry on a fast link reads the store, and asks agents when that fails. Copies of the configuration between mirrors are gone.

--- /dev/null
+++ b/pimentobridge/daemons/configuration_follower.py
@@ -0,0 +1,120 @@
+"""Keeps an entry at the operator's newest configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from pimentobridge.core import rendezvous
+from pimentobridge.daemons import document as document_lib
+from pimentobridge.daemons import document_client
+from pimentobridge.daemons import document_server
+from pimentobridge.daemons import keys
+from pimentobridge.platform import operator_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core import types
+    from pimentobridge.platform import boot_settings
+    from pimentobridge.platform import kv_store
+    from pimentobridge.protocol import transport
+
+# The store sends a document in full for each version: 1.4 MB at its limit on a
+# value. Entries on slower links than this get it compressed from agents.
+MIN_DIRECT_LINK_MBPS = 100.0
+# The other way is taken too when the first one hasn't shown for this time that
+# the entry has the newest version.
+FALLBACK_AFTER_S = 2.5
+# Limits on the agents that may be asked, in this region and in others. All
+# entries of a region ask the same ones, so that few read the document.
+MAX_NEAR_SOURCES = 4
+MAX_FAR_SOURCES = 2
+
+
+class ConfigurationFollower:
+    """Follows the configuration through the store and through other processes.
+
+    Args:
+        settings: this process's settings.
+        endpoint: transport to the other processes.
+        store: the platform's store.
+        clock: source of time.
+        items_by_key: returns the items of this system in the store.
+        on_version: called with each newer configuration document.
+
+    Attributes:
+        document: this entry's copy of the configuration document.
+        client: gets versions from other processes.
+        server: passes versions on to other entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: boot_settings.ProcessSettings,
+        endpoint: transport.Endpoint,
+        store: kv_store.KvStore,
+        clock: clock_lib.Clock,
+        items_by_key: Callable[[], Mapping[str, kv_store.Item]],
+        on_version: Callable[[kv_store.Item], None],
+    ) -> None:
+        self._region = settings.region
+        self._address = endpoint.address
+        self._items_by_key = items_by_key
+        self._has_fast_link = settings.link_mbps >= MIN_DIRECT_LINK_MBPS
+        self.document = document_lib.Document(
+            key=operator_configuration.KEY, clock=clock, on_version=on_version
+        )
+        self._reader = document_lib.StoreReader(
+            document=self.document,
+            store=store,
+            clock=clock,
+            wanted=lambda: self._has_fast_link or self._out_of_date,
+        )
+        self.client = document_client.DocumentClient(
+            document=self.document,
+            endpoint=endpoint,
+            sources=self._sources,
+            clock=clock,
+            wanted=lambda: not self._has_fast_link or self._out_of_date,
+        )
+        self.server = document_server.DocumentServer(
+            document=self.document, endpoint=endpoint, clock=clock
+        )
+
+    async def run(self) -> None:
+        """Follows the configuration until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._reader.run)
+            nursery.start_soon(self.client.run)
+            nursery.start_soon(self.server.run)
+
+    @property
+    def _out_of_date(self) -> bool:
+        return self.document.age_s > FALLBACK_AFTER_S
+
+    def _sources(self) -> list[types.Address]:
+        """Returns agents of this region, then others, then the entries."""
+        near: list[types.Address] = []
+        far: list[types.Address] = []
+        entries: list[types.Address] = []
+        for key, item in self._items_by_key().items():
+            if key.startswith(keys.AGENTS):
+                is_near = item.value == keys.agent_value(self._region)
+                (near if is_near else far).append(keys.address_of(key))
+            elif key.startswith(keys.ENTRIES):
+                entries.append(keys.address_of(key))
+        topic = f"{self.document.key}/{self._region}"
+        return [
+            *rendezvous.ranked(topic, near)[:MAX_NEAR_SOURCES],
+            *rendezvous.ranked(topic, far)[:MAX_FAR_SOURCES],
+            *(
+                entry
+                for entry in rendezvous.ranked(topic, entries)
+                if entry != self._address
+            ),
+        ]
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -9,6 +9,7 @@
 import trio
 
 from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.daemons import configuration_follower
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import leadership as leadership_lib
 from pimentobridge.daemons import logs
@@ -19,6 +20,7 @@
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import operator_configuration
 from pimentobridge.protocol import control
+from pimentobridge.protocol import documents
 
 if TYPE_CHECKING:
     from pimentobridge.core import clock as clock_lib
@@ -80,17 +82,16 @@
             clock=clock,
             on_change=self._on_item,
         )
-        self.configuration_mirror = store_mirror.StoreMirror(
+        self._follower = configuration_follower.ConfigurationFollower(
+            settings=settings,
+            endpoint=endpoint,
             store=store,
-            prefix=operator_configuration.KEY,
             clock=clock,
-            on_change=self._on_configuration_item,
+            items_by_key=lambda: self.mirror.items_by_key,
+            on_version=self._on_configuration_item,
         )
         self.sharing = mirror_sharing.MirrorSharing(
-            mirrors={
-                keys.PREFIX: self.mirror,
-                operator_configuration.KEY: self.configuration_mirror,
-            },
+            mirrors={keys.PREFIX: self.mirror},
             endpoint=endpoint,
             peers=self._peers,
             clock=clock,
@@ -111,7 +112,7 @@
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.mirror.run)
-            nursery.start_soon(self.configuration_mirror.run)
+            nursery.start_soon(self._follower.run)
             nursery.start_soon(self.leadership.run)
             nursery.start_soon(self._announce)
             nursery.start_soon(self._receive_messages, nursery)
@@ -374,6 +375,10 @@
                 self.sharing.on_query(envelope.sender, message)
             elif isinstance(message, control.MirrorCopy):
                 self.sharing.on_copy(envelope.sender, message)
+            elif isinstance(message, documents.DocumentQuery):
+                self._follower.server.on_query(envelope.sender, message)
+            elif isinstance(message, documents.DocumentPart):
+                self._follower.client.on_part(envelope.sender, message)
             else:
                 logs.event(
                     "unexpected message",
@@ -414,7 +419,7 @@
             scheduler.add_agent(keys.address_of(item.key))
 
     def _on_configuration_item(self, item: kv_store.Item) -> None:
-        if item.key != operator_configuration.KEY or item.value is None:
+        if item.value is None:
             return
         document = operator_configuration.decode(item.value)
         if document is None:
--- a/pimentobridge/daemons/keys.py
+++ b/pimentobridge/daemons/keys.py
@@ -32,6 +32,11 @@
     return AGENTS + address
 
 
+def agent_value(region: types.RegionName) -> bytes:
+    """Returns what an agent announces under its key."""
+    return region.encode()
+
+
 def entry(address: types.Address) -> str:
     """Returns the key under which an entry announces its address."""
     return ENTRIES + address
--- a/pimentobridge/daemons/logs.py
+++ b/pimentobridge/daemons/logs.py
@@ -19,6 +19,8 @@
 # Lines per second; an entry at its design load logs a few hundred decisions.
 LINES_PER_S = 400.0
 BURST_LINES = 2000.0
+# Times are logged up to this one, as infinity has no form in JSON.
+MAX_LOGGED_S = 1e6
 
 
 # Fields that may hold the outcome under which an event is counted; each has few
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -8,9 +8,12 @@
 
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine
+from pimentobridge.daemons import document_source
 from pimentobridge.daemons import logs
+from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
 from pimentobridge.protocol import control
+from pimentobridge.protocol import documents
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +22,7 @@
     from pimentobridge.core import types
     from pimentobridge.platform import boot_settings
     from pimentobridge.platform import heartbeats
+    from pimentobridge.platform import kv_store
     from pimentobridge.protocol import transport
 
 REPORT_INTERVAL_S = 0.5
@@ -37,6 +41,8 @@
         settings: this process's settings.
         endpoint: transport to the scheduler.
         runner: client of the worker's interface for starts, stops and polls.
+        store: the platform's store, where the agent reads the configuration
+            for entries with slow links.
         clock: source of time; its monotonic time must include time in which
             the machine was suspended.
         entries: addresses of entries, which forward reports to the scheduler;
@@ -49,6 +55,7 @@
         settings: boot_settings.ProcessSettings,
         endpoint: transport.Endpoint,
         runner: runner_lib.Runner,
+        store: kv_store.KvStore,
         clock: clock_lib.Clock,
         entries: tuple[types.Address, ...],
     ) -> None:
@@ -57,6 +64,12 @@
         self._runner = runner
         self._clock = clock
         self._entries = entries
+        self._configuration_source = document_source.DocumentSource(
+            key=operator_configuration.KEY,
+            store=store,
+            endpoint=endpoint,
+            clock=clock,
+        )
         self._nursery: trio.Nursery | None = None
         self._wake_report = trio.Event()
         self._wake_poll = trio.Event()
@@ -94,7 +107,8 @@
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._receive_orders)
+            nursery.start_soon(self._receive_messages)
+            nursery.start_soon(self._configuration_source.run)
             nursery.start_soon(self._report_forever)
             nursery.start_soon(self._poll_forever)
 
@@ -147,12 +161,16 @@
 
     # Orders of the scheduler.
 
-    async def _receive_orders(self) -> None:
+    async def _receive_messages(self) -> None:
         while True:
             envelope = await self._endpoint.receive()
             message = envelope.message
             if isinstance(message, control.WorkerOrders):
                 self._on_orders(message)
+            elif isinstance(message, documents.DocumentQuery):
+                self._configuration_source.server.on_query(
+                    envelope.sender, message
+                )
 
     def _on_orders(self, orders: control.WorkerOrders) -> None:
         if orders.token < self._token:
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -39,21 +39,22 @@
 ) -> int:
     port = settings.internal_ports[0]
     address = types.Address(f"tcp://{settings.ip}:{port}")
+    store = kv_store.KvStore(http_client.HttpClient(settings.store))
     agent = worker_agent.WorkerAgent(
         settings=settings,
         endpoint=zmq_transport.ZmqEndpoint(address),
         runner=runner_lib.Runner(http_client.HttpClient(settings.worker)),
+        store=store,
         clock=boot_clock.BootClock(),
         entries=tuple(
             types.Address(f"tcp://{seed.rpartition(':')[0]}:{port}")
             for seed in settings.seeds
         ),
     )
-    store = kv_store.KvStore(http_client.HttpClient(settings.store))
     stopped = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(agent.run)
-        nursery.start_soon(_announce, store, address)
+        nursery.start_soon(_announce, store, address, settings.region)
         nursery.start_soon(
             http_server.serve,
             worker_api.WorkerApi(agent),
@@ -75,15 +76,17 @@
     return 0
 
 
-async def _announce(store: kv_store.KvStore, address: types.Address) -> None:
-    """Writes this agent's address to the store, where the scheduler reads it.
+async def _announce(
+    store: kv_store.KvStore, address: types.Address, region: types.RegionName
+) -> None:
+    """Writes this agent's address to the store, where the entries read it.
 
     Retries until the store has the address.
     """
     while True:
         written = await store.transact(
             expected={keys.agent(address): kv_store.ABSENT},
-            puts=[kv_store.Put(keys.agent(address), b"1")],
+            puts=[kv_store.Put(keys.agent(address), keys.agent_value(region))],
         )
         if written.is_ok():
             return
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import base64
+import hashlib
 import json
 from typing import TYPE_CHECKING
 import zlib
@@ -28,6 +29,8 @@
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
+from pimentobridge.testing import http_network
+from pimentobridge.testing import links
 from pimentobridge.testing import network as network_lib
 from pimentobridge.testing import platform_advice
 from pimentobridge.testing import platform_runner
@@ -50,6 +53,8 @@
 DENY_ONE_IN = 3
 RESTART_DELAY_S = 0.6
 ENTRY_DRAIN_S = 2.5
+# What the settings say of a machine whose link isn't limited.
+UNLIMITED_LINK_MBPS = 1000.0
 RUNNER_DRAIN_S = 4.0
 
 
@@ -69,6 +74,7 @@
     guaranteed: int = 8,
     policy: platform_advice.PlatformAdvice | None = None,
     advised: tuple[int, ...] = (),
+    more_routes: int = 0,
 ) -> dict[str, object]:
     """Returns a configuration in the format that the operator writes.
 
@@ -78,6 +84,7 @@
         guaranteed: accelerators guaranteed to each account.
         policy: placement policy of the advised queues; None for no policy.
         advised: priorities of the queues that are subject to the policy.
+        more_routes: number of further queues, with names of their own.
     """
     advice_fields = {}
     if policy is not None:
@@ -104,7 +111,8 @@
             }
             | (advice_fields if priority in advised else {})
             for priority in PRIORITIES
-        ],
+        ]
+        + [_added_route(number, service) for number in range(more_routes)],
         "services": [{"name": service, "enforcesCapacity": True}],
         "tenants": [
             {
@@ -117,6 +125,24 @@
     }
 
 
+def _added_route(number: int, service: str) -> dict[str, object]:
+    """Returns a route whose names compress no better than random ones."""
+    digest = hashlib.sha256(str(number).encode()).hexdigest()
+    return {
+        "name": f"r-{digest[:7]}",
+        "hostname": f"{digest[7:13]}.example",
+        "prefix": f"/{digest[13:20]}/",
+        "type": "non_idempotent",
+        "timeoutMs": 3002,
+        "sloMs": 1000,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": MAX_ATTEMPTS,
+        "stretchFactor": 3.0,
+        "allowAnonymous": False,
+    }
+
+
 class EntryHost:
     """A simulated machine that runs an entry process.
 
@@ -211,19 +237,22 @@
 
     async def _run_agent(self) -> None:
         world = self._world
+        store = kv_store.KvStore(world.store_client(self.node))
+        settings = world.settings(self.node)
         agent = worker_agent.WorkerAgent(
-            settings=world.settings(self.node),
+            settings=settings,
             endpoint=world.network.endpoint(
                 self.address, network_lib.Place("north", self.node)
             ),
             runner=runner_lib.Runner(world.runner_client(self)),
+            store=store,
             clock=trio_clock.TrioClock(world.origin),
             entries=tuple(host.address for host in world.entries),
         )
         self.agent = agent
-        store = kv_store.KvStore(world.store_client(self.node))
+        value = keys.agent_value(settings.region)
         await store.transact(
-            expected={}, puts=[kv_store.Put(keys.agent(self.address), b"1")]
+            expected={}, puts=[kv_store.Put(keys.agent(self.address), value)]
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(agent.run)
@@ -289,6 +318,8 @@
         workers: number of workers.
         advised: priorities of the queues that are subject to a placement
             policy.
+        entry_link_bytes_per_s: bandwidth of each entry's link, for all its
+            traffic with the store and other processes; None for unlimited.
 
     Attributes:
         last_fault_s: time at which a fault was last active, in seconds.
@@ -304,8 +335,10 @@
         entries: int,
         workers: int,
         advised: tuple[int, ...] = (),
+        entry_link_bytes_per_s: float | None = None,
     ) -> None:
         self.rng = rng
+        self._entry_link_bytes_per_s = entry_link_bytes_per_s
         self.advised = advised
         self.advice = platform_advice.PlatformAdvice(
             _is_permitted, decision_s=0.05, per_worker_s=0.005, validity_s=3.0
@@ -327,9 +360,22 @@
         self.network = network_lib.Network(
             rng=rng, local_s=0.001, link_s=0.03, link_bytes_per_s=2_000_000.0
         )
+        self.incoming_links_by_node: dict[str, links.Link] = {}
         self.entries = [EntryHost(self, number) for number in range(entries)]
+        if entry_link_bytes_per_s is not None:
+            self._limit_entry_links(entry_link_bytes_per_s)
         self.workers = [WorkerHost(self, number) for number in range(workers)]
         self.version = 0
+        self._added_routes = 0
+
+    def _limit_entry_links(self, bytes_per_s: float) -> None:
+        for host in self.entries:
+            outgoing, incoming = (
+                links.Link(bytes_per_s),
+                links.Link(bytes_per_s),
+            )
+            self.network.links_by_address[host.address] = (outgoing, incoming)
+            self.incoming_links_by_node[host.node] = incoming
 
     def settings(self, node: str) -> boot_settings.ProcessSettings:
         """Returns the settings of a machine's process."""
@@ -342,10 +388,28 @@
             store="store",
             advice="advice",
             max_lease_s=MAX_LEASE_S,
+            link_mbps=self._link_mbps_of(node),
         )
 
-    def store_client(self, node: str) -> faulty_client.FaultyClient:
-        """Returns a client through which a machine calls the store."""
+    def _link_mbps_of(self, node: str) -> float:
+        if node in self.incoming_links_by_node:
+            assert self._entry_link_bytes_per_s is not None
+            return self._entry_link_bytes_per_s * 8 / 1e6
+        return UNLIMITED_LINK_MBPS
+
+    def store_client(self, node: str) -> http_client.Client:
+        """Returns a client through which a machine calls the store.
+
+        For a machine with a limited link that is the product's client.
+        """
+        incoming = self.incoming_links_by_node.get(node)
+        if incoming is not None:
+            backend = http_network.LinkBackend(
+                handler=self.store.handle,
+                incoming=incoming,
+                delay_s=STORE_CALL_S,
+            )
+            return http_client.HttpClient("store:80", network=backend)
 
         async def handle(
             method: str, path: str, body: object, headers: dict[str, str]
@@ -402,8 +466,16 @@
             nursery=self.nursery,
         )
 
-    def put_configuration(self, *, guaranteed: int = 8) -> None:
-        """Writes a newer configuration to the store, as the operator does."""
+    def put_configuration(
+        self, *, guaranteed: int = 8, more_routes: int = 0
+    ) -> None:
+        """Writes a newer configuration to the store, as the operator does.
+
+        Args:
+            guaranteed: accelerators guaranteed to each account.
+            more_routes: number of routes that are added for good.
+        """
+        self._added_routes += more_routes
         self.version += self.rng.randint(1, 3)
         document = configuration_document(
             self.version,
@@ -411,6 +483,7 @@
             guaranteed=guaranteed,
             policy=self.advice,
             advised=self.advised,
+            more_routes=self._added_routes,
         )
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self.store.put(operator_configuration.KEY, value)
--- a/pimentobridge/protocol/codec.py
+++ b/pimentobridge/protocol/codec.py
@@ -11,6 +11,7 @@
 from pimentobridge.core import types
 from pimentobridge.protocol import cluster  # noqa: F401  registers messages
 from pimentobridge.protocol import control  # noqa: F401  registers messages
+from pimentobridge.protocol import documents  # noqa: F401  registers messages
 from pimentobridge.protocol import gangs  # noqa: F401  registers messages
 from pimentobridge.protocol import jobs  # noqa: F401  registers messages
 from pimentobridge.protocol import messages
--- a/pimentobridge/testing/network.py
+++ b/pimentobridge/testing/network.py
@@ -19,6 +19,7 @@
 
     from pimentobridge.core import types
     from pimentobridge.protocol import messages
+    from pimentobridge.testing import links
 
 FRAME_OVERHEAD_BYTES = 40
 # Each delay is lengthened at random by up to this share.
@@ -70,6 +71,8 @@
 
     Attributes:
         local_s: the delay given, which may be changed.
+        links_by_address: the machines' own links, outgoing and incoming; an
+            address that isn't listed has an unlimited link.
         link_bytes_by_message: bytes sent between regions, by message class.
         sent_bytes_by_address: bytes sent to any region, by sender.
         sent_messages_by_address: messages sent to any region, by sender.
@@ -93,6 +96,9 @@
         self._places_by_address: dict[types.Address, Place] = {}
         self._endpoints_by_address: dict[types.Address, MemoryEndpoint] = {}
         self._link_free_s_by_region: dict[str, float] = {}
+        self.links_by_address: dict[
+            types.Address, tuple[links.Link, links.Link]
+        ] = {}
         self._last_arrival_s_by_connection: dict[
             tuple[types.Address, types.Address], float
         ] = {}
@@ -233,18 +239,24 @@
     ) -> float:
         now_s = trio.current_time()
         departure_s = now_s
+        if sender in self.links_by_address:
+            departure_s = self.links_by_address[sender][0].reserve(size)
         delay_s = self.local_s
         if self._crosses_regions(sender, to):
             region = self._places_by_address[sender].region
             link_free_s = max(
-                self._link_free_s_by_region.get(region, 0.0), now_s
+                self._link_free_s_by_region.get(region, 0.0), departure_s
             )
             departure_s = link_free_s + size / self._link_bytes_per_s
             self._link_free_s_by_region[region] = departure_s
             self.link_bytes_by_message[message_name] += size
             delay_s = self._link_s
         delay_s *= self.faults.delay_factor * (1 + JITTER * self._rng.random())
-        arrival_s = math.ceil((departure_s + delay_s) / TICK_S) * TICK_S
+        arrival_s = departure_s + delay_s
+        if to in self.links_by_address:
+            incoming = self.links_by_address[to][1]
+            arrival_s = incoming.reserve(size, from_s=arrival_s)
+        arrival_s = math.ceil(arrival_s / TICK_S) * TICK_S
         if self.faults.reorder and self._rng.random() < self.faults.reorder:
             return arrival_s + delay_s * 4 * self._rng.random()
         connection = (sender, to)
