--- a/pimentobridge/cli/lab.py
+++ b/pimentobridge/cli/lab.py
@@ -13,6 +13,7 @@
 import trio
 
 from pimentobridge.lab import faults
+from pimentobridge.lab import large_configuration
 from pimentobridge.lab import simulation
 from pimentobridge.lab import soak as soak_lib
 
@@ -68,6 +69,13 @@
         "--seconds", type=float, default=30.0, help="duration of the traffic"
     )
     soak.set_defaults(run=_soak)
+    configuration = actions.add_parser(
+        "configuration",
+        help="measure how entries on slow links follow large configurations",
+    )
+    configuration.add_argument("--series", type=int, default=3)
+    configuration.add_argument("--seed", type=int, default=1)
+    configuration.set_defaults(run=_configuration)
     kinds = actions.add_parser("kinds", help="list the kinds of faults")
     kinds.set_defaults(run=_kinds)
 
@@ -140,6 +148,17 @@
     return EXIT_VIOLATIONS if failing_soaks else EXIT_OK
 
 
+def _configuration(options: argparse.Namespace) -> int:
+    results = large_configuration.measure(options.series, seed=options.seed)
+    for result in results:
+        print(
+            f"{result.routes} routes, {result.document_bytes} bytes:"
+            f" in force everywhere within {result.slowest_s:.2f} s,"
+            f" {result.most_bytes} bytes received at most"
+        )
+    return EXIT_OK
+
+
 def _kinds(options: argparse.Namespace) -> int:
     del options
     print("\n".join(faults.KINDS))
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -468,12 +468,15 @@
 
     def put_configuration(
         self, *, guaranteed: int = 8, more_routes: int = 0
-    ) -> None:
+    ) -> int:
         """Writes a newer configuration to the store, as the operator does.
 
         Args:
             guaranteed: accelerators guaranteed to each account.
             more_routes: number of routes that are added for good.
+
+        Returns:
+            The size of the document in bytes.
         """
         self._added_routes += more_routes
         self.version += self.rng.randint(1, 3)
@@ -485,8 +488,15 @@
             advised=self.advised,
             more_routes=self._added_routes,
         )
-        value = base64.b64encode(json.dumps(document).encode()).decode()
+        data = json.dumps(document, separators=(",", ":")).encode()
+        value = base64.b64encode(data).decode()
         self.store.put(operator_configuration.KEY, value)
+        return len(data)
+
+    @property
+    def routes(self) -> int:
+        """Number of routes in the newest configuration."""
+        return len(PRIORITIES) + self._added_routes
 
     def start(self) -> None:
         """Starts every machine."""
