Give up tasks that crash the workers that start them

Cause: a run lost with its worker counted as nobody's fault, so the task was simply placed again.

An agent now says which incarnations ended without notice while it served them, and which runs had started there. The scheduler counts the crash under the tasks that had just started, in the job's record, so that the count outlives it and store outages. A task under which workers have crashed on two machines, or three times in all, is given up: its job is failed, and its caller told so. Until then it is kept from the machines where that happened, put on an empty worker if there is one, and never placed beside another such task, which spares those that only ran beside it. Loss of power, which takes the agent too, doesn't count.

--- a/pimentobridge/core/jobs/progress.py
+++ b/pimentobridge/core/jobs/progress.py
@@ -77,6 +77,8 @@
         placements: assignments of the latest run, by member.
         counted_run: latest run whose failure is counted in `failures`; a run
             counts once, however many of its members fail.
+        crashed_on_by_member: agents of the machines on which the worker
+            crashed under a member, one for each crash.
     """
 
     first: int
@@ -87,6 +89,16 @@
     checkpoint: str = ""
     placements: list[Placement] = []
     counted_run: int = 0
+    crashed_on_by_member: dict[int, list[types.Address]] = {}
+
+    @property
+    def crashed_on(self) -> set[types.Address]:
+        """Agents of the machines on which the worker crashed under the unit."""
+        return {
+            machine
+            for machines in self.crashed_on_by_member.values()
+            for machine in machines
+        }
 
 
 class Occurrence(msgspec.Struct, array_like=True):
--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -119,6 +119,20 @@
     stops: tuple[RunKey, ...] = ()
 
 
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A worker's incarnation that ended without notice.
+
+    Attributes:
+        started: runs that were there.
+        unanswered: runs whose start order wasn't answered, so that they may
+            have been there.
+    """
+
+    incarnation: IncarnationKey
+    started: tuple[RunKey, ...]
+    unanswered: tuple[RunKey, ...] = ()
+
+
 class Observation(msgspec.Struct, frozen=True, array_like=True):
     """Complete state of a worker, as its agent reports it.
 
@@ -128,6 +142,8 @@
         stop_confirmed: runs whose stop the worker has confirmed: they don't
             run and never will.
         terminated: the incarnation has ended, and with it all its runs.
+        crashes: earlier incarnations on the machine that ended without notice
+            while this agent served them.
     """
 
     incarnation: WorkerIncarnation
@@ -136,3 +152,4 @@
     refused: tuple[RunKey, ...] = ()
     stop_confirmed: tuple[RunKey, ...] = ()
     terminated: bool = False
+    crashes: tuple[Crash, ...] = ()
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
+from pimentobridge.core.scheduling import crashes
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import ledger
@@ -190,7 +191,7 @@
         latest = self.incarnation_by_agent.get(agent)
         if latest is not None and latest.started_ms > key.started_ms:
             return
-        self._remove_replaced_incarnations(agent, key)
+        self._remove_replaced_incarnations(agent, observation)
         if observation.terminated and key not in self.workers_by_incarnation:
             return
         worker = self._get_or_add_worker(key)
@@ -268,16 +269,43 @@
         worker.evacuated = True
 
     def _remove_replaced_incarnations(
-        self, agent: types.Address, key: runs.IncarnationKey
+        self, agent: types.Address, observation: runs.Observation
     ) -> None:
         """Removes older incarnations on the machine of a new one."""
+        key = observation.incarnation.key
         for old_key, worker in list(self.workers_by_incarnation.items()):
             same_machine = old_key.worker == key.worker or worker.agent == agent
             if same_machine and old_key.started_ms < key.started_ms:
+                for crash in observation.crashes:
+                    if crash.incarnation == old_key:
+                        self._count_crash(worker, agent, crash)
                 self._remove_incarnation(
                     old_key, "replaced by a newer incarnation"
                 )
 
+    def _count_crash(
+        self,
+        worker: fleet.TrackedWorker,
+        agent: types.Address,
+        crash: runs.Crash,
+    ) -> None:
+        """Counts a crash under the runs that may have caused it."""
+        for entry in crashes.culprits(worker, crash):
+            machines = crashes.count(entry, agent)
+            self._log(
+                "worker crashed under task",
+                job=entry.tracked.id,
+                task=str(entry.name),
+                run=entry.run,
+                worker=worker.key.worker,
+                crashes=len(machines),
+                machines=len(set(machines)),
+                worked_s=round(entry.worked_s, 2),
+            )
+            self.mark_changed(entry.tracked)
+            if crashes.is_hopeless(machines) and not entry.tracked.state.ended:
+                self._end_job(entry.tracked, progress_lib.JobState.FAILED)
+
     def _remove_incarnation(
         self, key: runs.IncarnationKey, reason: str
     ) -> None:
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -65,6 +65,7 @@
     health: health_lib.Health = dataclasses.field(
         default_factory=health_lib.Health
     )
+    _suspect_keys: set[runs.RunKey] = dataclasses.field(default_factory=set)
 
     @property
     def free(self) -> model.Resources:
@@ -73,13 +74,21 @@
             return model.NO_RESOURCES
         return self.incarnation.capacity - self.used
 
+    @property
+    def holds_suspect(self) -> bool:
+        """Whether a run is here whose unit may crash workers."""
+        return bool(self._suspect_keys)
+
     def add(self, entry: ledger.RunEntry) -> None:
         """Adds a run that may exist here and reserves resources for it."""
         self.entries_by_key[entry.key] = entry
+        if entry.unit.crashed_on_by_member:
+            self._suspect_keys.add(entry.key)
         self.used += entry.step.footprint
 
     def remove(self, key: runs.RunKey) -> ledger.RunEntry | None:
         """Removes a run that has certainly ended and frees its resources."""
+        self._suspect_keys.discard(key)
         entry = self.entries_by_key.pop(key, None)
         if entry is not None:
             self.used -= entry.step.footprint
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -111,6 +111,17 @@
             self.progressed_s = now_s
         self.percent = percent
 
+    @property
+    def worked_s(self) -> float:
+        """Time from the first report to the latest progress, in seconds.
+
+        Reports that repeat what is known, as while the worker is down, don't
+        count.
+        """
+        if self.started_s is None:
+            return 0.0
+        return self.progressed_s - self.started_s
+
     def execution_time_s(self, now_s: float) -> float:
         """Returns the approximate execution time so far, in seconds.
 
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -14,6 +14,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from pimentobridge.core import types
     from pimentobridge.core.scheduling import fleet
 
 FreeResources = dict[runs.IncarnationKey, model.Resources]
@@ -31,6 +32,8 @@
             already; needed only for a step with `max_per_worker`.
         allowed: the workers that the external policy allows; None if the queue
             has no policy.
+        crashed_on: agents of the machines on which the worker crashed under
+            the unit; a unit with any isn't placed beside another such unit.
     """
 
     step: model.Step
@@ -40,6 +43,7 @@
         default_factory=dict
     )
     allowed: Collection[runs.IncarnationKey] | None = None
+    crashed_on: Collection[types.Address] = ()
 
     def may_run_on(self, worker: fleet.TrackedWorker) -> bool:
         """Returns whether a worker may run the step, given enough capacity."""
@@ -51,6 +55,7 @@
                 or self.step.required_label in worker.incarnation.labels
             )
             and (self.allowed is None or worker.key in self.allowed)
+            and not (self.crashed_on and worker.holds_suspect)
         )
 
 
@@ -114,6 +119,7 @@
         slots,
         key=lambda key: (
             _is_suspect(candidates, key),
+            _crash_risk(candidates.workers_by_key[key], demand),
             not _matches_affinity(candidates, step, key),
             slots[key] if size == 1 else -slots[key],
             _unused_share(candidates, step, available_by_key[key], key),
@@ -215,6 +221,19 @@
     return bool(candidates.workers_by_key[key].health.failed_jobs)
 
 
+def _crash_risk(worker: fleet.TrackedWorker, demand: Demand) -> int:
+    """Returns how much a crash on the worker would cost; lower is better.
+
+    A unit that may crash workers is kept from the machines on which it did,
+    and from other units where a worker is empty.
+    """
+    if demand.crashed_on:
+        return 2 * (worker.agent in demand.crashed_on) + bool(
+            worker.entries_by_key
+        )
+    return int(worker.holds_suspect)
+
+
 def _matches_affinity(
     candidates: Candidates, step: model.Step, key: runs.IncarnationKey
 ) -> bool:
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -131,6 +131,7 @@
                 if queue.advice is not None
                 else None
             ),
+            crashed_on=unit.crashed_on,
         )
 
     def _entitled_jobs(self) -> set[types.JobId]:
--- /dev/null
+++ b/pimentobridge/daemons/started_runs.py
@@ -0,0 +1,68 @@
+"""Which runs an agent has started on its worker, and what crashes ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pimentobridge.core.jobs import runs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Crashes of the worker that a report names. A scheduler that has just taken
+# over may know the runs of any of them.
+MAX_CRASHES_REPORTED = 8
+
+
+class StartedRuns:
+    """Runs that may be on the present incarnation of a worker.
+
+    Attributes:
+        started: runs whose start the worker has confirmed.
+        crashes: the latest incarnations that ended without notice.
+    """
+
+    def __init__(self) -> None:
+        self.started: set[runs.RunKey] = set()
+        self._unanswered: set[runs.RunKey] = set()
+        self.crashes: tuple[runs.Crash, ...] = ()
+
+    def on_started(self, run: runs.RunKey) -> None:
+        """Notes that the worker has confirmed a start."""
+        self.started.add(run)
+
+    def on_unanswered(self, run: runs.RunKey) -> None:
+        """Notes that a start may have been carried out."""
+        self._unanswered.add(run)
+
+    def on_over(self, ended: Iterable[runs.RunKey]) -> None:
+        """Notes that runs have ended or were stopped."""
+        over = set(ended)
+        self.started -= over
+        self._unanswered -= over
+
+    def on_replaced(
+        self,
+        incarnation: runs.IncarnationKey,
+        running: Iterable[runs.RunKey],
+        *,
+        announced: bool,
+    ) -> None:
+        """Notes that another incarnation has taken the place of this one.
+
+        Args:
+            incarnation: the one that has ended.
+            running: runs that it listed last.
+            announced: whether it had said that it would shut down; otherwise
+                it has crashed.
+        """
+        started = self.started | set(running)
+        if not announced:
+            crash = runs.Crash(
+                incarnation,
+                tuple(started),
+                tuple(self._unanswered - started),
+            )
+            self.crashes = (*self.crashes, crash)[-MAX_CRASHES_REPORTED:]
+        self.started = set()
+        self._unanswered = set()
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -10,6 +10,7 @@
 from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import document_source
 from pimentobridge.daemons import logs
+from pimentobridge.daemons import started_runs
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
 from pimentobridge.protocol import control
@@ -82,6 +83,7 @@
         self._broadcast_s = 0.0
         self._instructions: runs.Instructions | None = None
         self._worker: runs.WorkerIncarnation | None = None
+        self._started_runs = started_runs.StartedRuns()
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
         self._clear_worker_state()
@@ -92,7 +94,6 @@
         self._refused: set[runs.RunKey] = set()
         self._stop_confirmed: set[runs.RunKey] = set()
         self._orders_in_progress: set[tuple[str, runs.RunKey]] = set()
-        self._started: set[runs.RunKey] = set()
         # Number up to which the scheduler has acknowledged the ends of runs.
         self._acknowledged_end = 0
         # The worker's clock in its newest response to a poll, and this agent's
@@ -142,6 +143,7 @@
                 born_ms=heartbeat.incarnation.key.started_ms,
                 earlier=current.key.worker if current else None,
             )
+            self._note_replacement()
             self._clear_worker_state()
             self._instructions = None
             self._sequence = 0
@@ -154,6 +156,14 @@
             self._wake_poll.set()
             self._wake_report.set()
 
+    def _note_replacement(self) -> None:
+        if self._worker is not None:
+            self._started_runs.on_replaced(
+                self._worker.key,
+                (task.key for task in self._running),
+                announced=self._worker.draining or self._deregistered,
+            )
+
     def on_deregistered(self, worker: str) -> None:
         """Notes that the worker has announced that it is shutting down."""
         if self._worker is not None and self._worker.key.worker == worker:
@@ -267,7 +277,7 @@
             return
         incarnation = self._worker.key
         while self._wants_start(incarnation, order.key):
-            if order.key in self._started:
+            if order.key in self._started_runs.started:
                 return
             if not self._has_polled:
                 await trio.sleep(ORDER_RETRY_PAUSE_S)
@@ -287,8 +297,10 @@
                 token=token,
                 outcome=outcome.value,
             )
+            if outcome is runner_lib.StartResult.UNKNOWN:
+                self._started_runs.on_unanswered(order.key)
             if outcome is runner_lib.StartResult.RUNNING:
-                self._started.add(order.key)
+                self._started_runs.on_started(order.key)
                 self._wake_poll.set()
                 return
             if outcome is runner_lib.StartResult.RUN_ENDED:
@@ -321,7 +333,7 @@
         incarnation = self._worker.key
         if not await self._stop_permanently(incarnation, key):
             return
-        self._started.discard(key)
+        self._started_runs.on_over([key])
         if await self._poll(0.0) and self._is_current(incarnation):
             self._stop_confirmed.add(key)
             self._wake_report.set()
@@ -442,7 +454,7 @@
             != {task.key for task in self._running}
         )
         self._running, self._ended = status.running, ended
-        self._started -= {end.key for end in ended}
+        self._started_runs.on_over(end.key for end in ended)
         if changed:
             self._wake_report.set()
 
@@ -465,6 +477,7 @@
                 refused=tuple(self._refused),
                 stop_confirmed=tuple(self._stop_confirmed),
                 terminated=self._worker_ended,
+                crashes=self._started_runs.crashes,
             )
         now_s = self._clock.monotonic()
         report = control.WorkerReport(
--- a/pimentobridge/lab/checkers.py
+++ b/pimentobridge/lab/checkers.py
@@ -2,8 +2,10 @@
 
 Each violation is a finding that starts with the name of the broken rule:
 
-- `BUDGET`: a task was started after it had used up its attempts.
+- `BUDGET`: a task was started after it had used up its attempts, or three times
+  after three runners had crashed under it.
 - `GANG`: a gang member stopped waiting because the others did not all start.
+- `LIMIT`: a start brought a runner over its capacity.
 - `LOST`: an accepted job is unknown or did not end, or a job was reported as
   cancelled without a request or as failed with attempts left.
 - `MIXED`: a job was reported as completed without all of its tasks done.
@@ -27,6 +29,15 @@
 
 # A task may still start this long after the cancellation was acknowledged.
 CANCEL_GRACE_S = 3.0
+# Crashes of runners under a task after which the starts of it are counted, and
+# how many of these are too many.
+MAX_CRASHES = 3
+EXCESS_STARTS = 3
+# Crashes of runners under a task after which it may be given up.
+MIN_CRASHES_TO_GIVE_UP = 2
+# A capacity that has shrunk counts this long afterwards: `contactMs` and one
+# heartbeat.
+SHRINK_GRACE_S = 5.5
 # A gang that does not assemble is no finding while a fault is active and for
 # this long afterwards.
 FAULT_GRACE_S = 10.0
@@ -135,6 +146,8 @@
                 "UNASKED", f"{run.task} started after its cancellation"
             )
         self._check_order(job, name)
+        self._check_crashes(run)
+        self._check_capacity(runner, run)
         failures = sum(
             1
             for end in self._ends_by_task[run.task]
@@ -145,6 +158,43 @@
                 "BUDGET", f"{run.task} started after {failures} failures"
             )
 
+    def _check_crashes(self, run: platform_runner.Run) -> None:
+        crashed_s = self._crash_times_s(run.task)
+        if len(crashed_s) < MAX_CRASHES:
+            return
+        excess = sum(
+            started_s > crashed_s[MAX_CRASHES - 1]
+            for started_s, _ in self._starts_by_task[run.task]
+        )
+        if excess >= EXCESS_STARTS:
+            self._report(
+                "BUDGET",
+                f"{run.task} run {run.number} is start {excess} after"
+                f" {MAX_CRASHES} runners had crashed under it",
+            )
+
+    def _crash_times_s(self, task: str) -> list[float]:
+        return [
+            end.ended_s
+            for end in self._ends_by_task[task]
+            if end.cause == "crash"
+        ]
+
+    def _check_capacity(
+        self,
+        runner: platform_runner.PlatformRunner,
+        run: platform_runner.Run,
+    ) -> None:
+        """Checks a start that the runner has just added to its runs."""
+        if self._clock() - runner.shrunk_s <= SHRINK_GRACE_S:
+            return
+        if not runner.used.fits_in(runner.capacity):
+            self._report(
+                "LIMIT",
+                f"{run.task} run {run.number} brought {runner.worker} to"
+                f" {runner.used} of {runner.capacity}",
+            )
+
     def _check_order(self, job: SubmittedJob, name: model.TaskName) -> None:
         step = job.steps[name.step]
         dependencies = step.get("after", [])
@@ -242,6 +292,8 @@
                 failures[task_or_gang] += sum(
                     end.cause == "failed" for end in ends
                 )
+                if len(self._crash_times_s(task)) >= MIN_CRASHES_TO_GIVE_UP:
+                    return True
         return any(count >= job.max_attempts for count in failures.values())
 
     def on_not_found(self, job: SubmittedJob) -> None:
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from pimentobridge.core.jobs import model
 from pimentobridge.lab import faulty_client
 
 if TYPE_CHECKING:
@@ -19,6 +20,8 @@
 MAX_FAULTS = 5
 # Share of the entries or workers that a fault affects.
 TARGET_SHARE = 0.35
+# Share of the tasks first started during the fault that crash their runners.
+DEADLY_SHARE = 0.2
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -234,6 +237,28 @@
         runner.failing = False
 
 
+async def _make_tasks_deadly(world: world_lib.World, fault: Fault) -> None:
+    world.pool.deadly_share = DEADLY_SHARE
+    await trio.sleep(fault.for_s)
+    world.pool.deadly_share = 0.0
+
+
+async def _shrink_capacity(world: world_lib.World, fault: Fault) -> None:
+    runners = [world.workers[number].runner for number in fault.targets]
+    before = [runner.capacity for runner in runners]
+    for runner, capacity in zip(runners, before, strict=True):
+        runner.resize(
+            model.Resources(
+                capacity.cpu_millicores // 2,
+                capacity.memory_mib // 2,
+                capacity.accelerators // 2,
+            )
+        )
+    await trio.sleep(fault.for_s)
+    for runner, capacity in zip(runners, before, strict=True):
+        runner.resize(capacity)
+
+
 async def _hang_runners(world: world_lib.World, fault: Fault) -> None:
     runners = [world.workers[number].runner for number in fault.targets]
     for runner in runners:
@@ -284,5 +309,7 @@
     "runners fail all": _fail_all_runs,
     "runners stand still": _hang_runners,
     "configuration changes": _change_configuration,
+    "tasks crash their runners": _make_tasks_deadly,
+    "capacity shrinks": _shrink_capacity,
 }
 KINDS = tuple(sorted(_INJECTORS))
--- a/pimentobridge/lab/simulation.py
+++ b/pimentobridge/lab/simulation.py
@@ -51,22 +51,31 @@
 
 
 def run(
-    seed: int, faults: Sequence[faults_lib.Fault] | None = None
+    seed: int,
+    faults: Sequence[faults_lib.Fault] | None = None,
+    *,
+    guards_capacity: bool | None = None,
 ) -> SimulationResult:
     """Runs a simulation.
 
     Args:
         seed: seed of the traffic, and of the faults unless they are given.
         faults: faults to inject in place of random ones.
+        guards_capacity: whether runners reject what doesn't fit; None to let
+            the seed decide.
     """
+    if guards_capacity is None:
+        guards_capacity = seed % 2 == 0
     result: SimulationResult = harness.run_virtual(
-        _simulate, seed, faults, seed=seed
+        _simulate, seed, faults, guards_capacity, seed=seed
     )
     return result
 
 
 async def _simulate(
-    seed: int, given_faults: Sequence[faults_lib.Fault] | None
+    seed: int,
+    given_faults: Sequence[faults_lib.Fault] | None,
+    guards_capacity: bool,
 ) -> SimulationResult:
     rng = random.Random(seed)
     faults = (
@@ -83,6 +92,7 @@
             entries=ENTRIES,
             workers=WORKERS,
             advised=ADVISED_PRIORITIES,
+            runners_guard_capacity=guards_capacity,
         )
         world.put_configuration()
         world.start()
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -52,6 +52,8 @@
 # The policy of the advised queues denies each step one worker in this many.
 DENY_ONE_IN = 3
 RESTART_DELAY_S = 0.6
+# Time after which a runner that a task has crashed is back.
+RUNNER_RESTART_S = 2.0
 ENTRY_DRAIN_S = 2.5
 # What the settings say of a machine whose link isn't limited.
 UNLIMITED_LINK_MBPS = 1000.0
@@ -224,8 +226,19 @@
             CAPACITY,
             started_ms=world.runner_incarnations,
             max_lease_s=MAX_LEASE_S,
+            guards_capacity=world.runners_guard_capacity,
         )
 
+    async def restart_crashed_runners(self) -> None:
+        """Replaces a runner that has crashed by itself, until cancelled."""
+        while True:
+            await trio.sleep(RESTART_DELAY_S)
+            crashed = self.runner
+            if not crashed.up and not crashed.draining:
+                await trio.sleep(RUNNER_RESTART_S)
+                if self.runner is crashed:
+                    self.runner = self._new_runner()
+
     async def run(self) -> None:
         """Runs the agent, and restarts it whenever it ends."""
         while True:
@@ -263,6 +276,9 @@
         while True:
             sequence += 1
             runner = self.runner
+            if not runner.up:
+                await trio.sleep(RESTART_DELAY_S)
+                continue
             body = json.dumps(
                 {
                     "service": SERVICE,
@@ -270,9 +286,9 @@
                     "zone": "north-a",
                     "state": "draining" if runner.draining else "ready",
                     "capacity": {
-                        "cpu": CAPACITY.cpu_millicores,
-                        "memMb": CAPACITY.memory_mib,
-                        "gpu": CAPACITY.accelerators,
+                        "cpu": runner.capacity.cpu_millicores,
+                        "memMb": runner.capacity.memory_mib,
+                        "gpu": runner.capacity.accelerators,
                     },
                     "labels": ["a", f"rack-{self._number // 3}"],
                     "sequence": sequence,
@@ -320,6 +336,7 @@
             policy.
         entry_link_bytes_per_s: bandwidth of each entry's link, for all its
             traffic with the store and other processes; None for unlimited.
+        runners_guard_capacity: whether the runners reject what doesn't fit.
 
     Attributes:
         last_fault_s: time at which a fault was last active, in seconds.
@@ -336,7 +353,9 @@
         workers: int,
         advised: tuple[int, ...] = (),
         entry_link_bytes_per_s: float | None = None,
+        runners_guard_capacity: bool = True,
     ) -> None:
+        self.runners_guard_capacity = runners_guard_capacity
         self.rng = rng
         self._entry_link_bytes_per_s = entry_link_bytes_per_s
         self.advised = advised
@@ -507,6 +526,7 @@
             self.nursery.start_soon(host.run)
         for worker in self.workers:
             self.nursery.start_soon(worker.run)
+            self.nursery.start_soon(worker.restart_crashed_runners)
 
     async def _expire_leases(self) -> None:
         while True:
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -26,8 +26,9 @@
 class StartResult(enum.Enum):
     """Outcome of an order to start a run.
 
-    `UNKNOWN`: the response is missing or unexpected, so that the run may have
-    started or may still start.
+    `UNREACHABLE`: the order can't have reached the runner. `UNKNOWN`: the
+    response is missing or unexpected, so that the run may have started or may
+    still start.
     """
 
     RUNNING = "running"
@@ -39,6 +40,7 @@
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"
     WRONG_INCARNATION = "other-life"
+    UNREACHABLE = "not-there"
     UNKNOWN = "unknown"
 
 
@@ -134,6 +136,8 @@
         if order.ticket:
             body["ticket"] = order.ticket
         answer = await self._call(worker, "/v1/run-start", body)
+        if answer is http_client.Failure.NOT_SENT:
+            return StartResult.UNREACHABLE
         if isinstance(answer, http_client.Failure):
             return StartResult.UNKNOWN
         if answer.status == 200:
--- a/pimentobridge/testing/platform_runner.py
+++ b/pimentobridge/testing/platform_runner.py
@@ -6,6 +6,7 @@
 import json
 from typing import TYPE_CHECKING
 from typing import Any
+import zlib
 
 import trio
 
@@ -21,6 +22,8 @@
 STOP_DURATION_S = 0.4
 CHECKPOINT_INTERVAL_S = 2.0
 RESTORE_DURATION_S = 0.25
+# Time from the start of a deadly task to the crash of its runner.
+DEADLY_AFTER_S = 0.4
 
 
 class TaskSpec:
@@ -127,6 +130,8 @@
 
     Attributes:
         ticket_rejections: number of starts rejected for lack of a valid ticket.
+        deadly_share: share of the tasks first started now that crash each
+            runner that starts them.
     """
 
     def __init__(
@@ -141,6 +146,15 @@
         self.advice = advice
         self.ticket_rejections = 0
         self.runners: list[PlatformRunner] = []
+        self.deadly_share = 0.0
+        self._deadly_by_task: dict[str, bool] = {}
+
+    def is_deadly(self, task: str) -> bool:
+        """Returns whether a task crashes runners; it never changes."""
+        if task not in self._deadly_by_task:
+            drawn = zlib.crc32(task.encode()) % 1000 / 1000
+            self._deadly_by_task[task] = drawn < self.deadly_share
+        return self._deadly_by_task[task]
 
     def gang_members(self, run: Run) -> list[tuple[PlatformRunner, Run]]:
         """Returns the runs of a gang that have the same run number as `run`."""
@@ -172,6 +186,9 @@
 
     Attributes:
         started_ms: start of this incarnation, Unix milliseconds.
+        capacity: what it says it has room for; `resize` changes it.
+        guards_capacity: whether it rejects starts that don't fit.
+        shrunk_s: monotonic time at which its capacity last shrank.
         up: whether the runner has not crashed.
         draining: whether the runner is being drained.
         failing: whether every run fails after 0.5 s of work.
@@ -189,11 +206,14 @@
         *,
         started_ms: int,
         max_lease_s: float,
+        guards_capacity: bool = True,
     ) -> None:
         self._pool = pool
         self.worker = worker
         self.capacity = capacity
         self.started_ms = started_ms
+        self.guards_capacity = guards_capacity
+        self.shrunk_s = float("-inf")
         self._max_lease_s = max_lease_s
         self._started_s = pool.clock()
         self._lease_until_s = 0.0
@@ -223,6 +243,19 @@
             self._pool.observer.on_end(self, run, "crash")
         self.runs_by_task.clear()
 
+    def resize(self, capacity: model.Resources) -> None:
+        """Changes the capacity; what runs goes on, also beyond it."""
+        if not self.capacity.fits_in(capacity):
+            self.shrunk_s = self._pool.clock()
+        self.capacity = capacity
+
+    @property
+    def used(self) -> model.Resources:
+        """What its runs use, those that are being stopped included."""
+        return model.total(
+            run.spec.request for run in self.runs_by_task.values()
+        )
+
     async def handle(
         self, path: str, body: dict[str, Any], expected_worker: str
     ) -> http_client.Answer:
@@ -275,10 +308,8 @@
         if spec.advised and not self._has_ticket(task, body):
             self._pool.ticket_rejections += 1
             return self._answer(409, reason="ticket")
-        used = model.total(
-            run.spec.request for run in self.runs_by_task.values()
-        )
-        if not spec.request.fits_in(self.capacity - used):
+        fits = spec.request.fits_in(self.capacity - self.used)
+        if self.guards_capacity and not fits:
             return self._answer(409, reason="room")
         restored_work_s = 0.0
         if body.get("checkpoint"):
@@ -357,6 +388,13 @@
                 if run.working_since_s is not None:
                     run.working_since_s += now_s - self._advanced_s
         self._advanced_s = now_s
+        if any(
+            self._pool.is_deadly(run.task)
+            and now_s - run.accepted_s >= DEADLY_AFTER_S
+            for run in self.runs_by_task.values()
+        ):
+            self.crash()
+            return
         if self.clock_s > self._lease_until_s:
             self.times_without_lease_s.append(now_s)
             for run in list(self.runs_by_task.values()):
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,39 @@
+"""Tasks that crash every worker that starts them."""
+
+from __future__ import annotations
+
+import pytest
+
+from pimentobridge.lab import faults
+from pimentobridge.lab import simulation
+
+DEADLY = faults.Fault("tasks crash their runners", 1.0, 25.0)
+
+
+# Guards against BUDGET (issue 23): nothing counted the workers that crashed
+# under a task, so that it was started on one after the other without end.
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_tasks_that_crash_workers_are_given_up(seed: int) -> None:
+    assert simulation.run(seed, [DEADLY]).findings == []
+
+
+# Guards against a count (issue 23) that is lost with its scheduler.
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_crashes_stay_counted_when_the_scheduler_changes(seed: int) -> None:
+    kills = [
+        faults.Fault("scheduler killed", at_s, 1.0)
+        for at_s in (4.0, 9.0, 14.0, 19.0, 24.0)
+    ]
+    assert simulation.run(seed, [DEADLY, *kills]).findings == []
+
+
+# Guards against a count (issue 23) that isn't kept while the store is away.
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_crashes_stay_counted_over_store_outages(seed: int) -> None:
+    outages = [
+        faults.Fault("store silent", 3.0, 5.0),
+        faults.Fault("scheduler killed", 7.5, 1.0),
+        faults.Fault("store busy", 12.0, 6.0),
+        faults.Fault("store resets", 20.0, 4.0),
+    ]
+    assert simulation.run(seed, [DEADLY, *outages]).findings == []
