Don't place tasks on workers that refuse connections

Agents now report whether the worker accepts connections, and such workers get no new tasks. The test fails without the change (0 starts in 0.8 s).

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -142,6 +142,7 @@
         stop_confirmed: runs whose stop the worker has confirmed: they don't
             run and never will.
         terminated: the incarnation has ended, and with it all its runs.
+        reachable: whether the worker accepted the latest connection.
         crashes: earlier incarnations on the machine that ended without notice
             while this agent served them.
     """
@@ -153,3 +154,4 @@
     stop_confirmed: tuple[RunKey, ...] = ()
     terminated: bool = False
     crashes: tuple[Crash, ...] = ()
+    reachable: bool = True
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -196,6 +196,7 @@
             return
         worker = self._get_or_add_worker(key)
         self._update_incarnation(worker, agent, observation.incarnation)
+        worker.reachable = observation.reachable
         self._apply_reported_runs(worker, observation)
         if observation.terminated:
             self._remove_incarnation(key, "incarnation ended")
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -42,6 +42,7 @@
         acknowledged_end: number up to which all ends are recorded; it is sent
             to the worker as an acknowledgement.
         used: resources reserved by tracked and untracked runs.
+        reachable: whether its agent could connect to it lately.
     """
 
     key: runs.IncarnationKey
@@ -62,6 +63,7 @@
     )
     acknowledged_end: int = 0
     used: model.Resources = model.NO_RESOURCES
+    reachable: bool = True
     health: health_lib.Health = dataclasses.field(
         default_factory=health_lib.Health
     )
@@ -107,6 +109,7 @@
         return (
             self.incarnation is not None
             and not self.incarnation.draining
+            and self.reachable
             and now_s - self.last_report_s <= MAX_REPORT_AGE_S
             and self.health.usable(now_s)
         )
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -101,6 +101,7 @@
         self._clock_s = 0.0
         self._clock_read_s = 0.0
         self._has_polled = False
+        self._is_reachable = True
         self._deregistered = False
         self._worker_ended = False
 
@@ -423,12 +424,8 @@
             logs.event(
                 "look failed", worker=incarnation.worker, why=response.value
             )
-            if (
-                self._deregistered
-                and response is runner_lib.PollFailure.UNREACHABLE
-            ):
-                self._worker_ended = True
-                self._wake_report.set()
+            if response is runner_lib.PollFailure.UNREACHABLE:
+                self._on_unreachable()
             return False
         if response.born_ms not in (0, incarnation.started_ms):
             logs.event(
@@ -442,10 +439,19 @@
         self._apply_status(response)
         return True
 
+    def _on_unreachable(self) -> None:
+        if self._deregistered or self._is_reachable:
+            self._wake_report.set()
+        self._worker_ended = self._deregistered
+        self._is_reachable = False
+
     def _apply_status(self, status: runner_lib.RunnerStatus) -> None:
         self._clock_s = status.clock_s
         self._clock_read_s = self._clock.monotonic()
         self._has_polled = True
+        if not self._is_reachable:
+            self._is_reachable = True
+            self._wake_report.set()
         ended = tuple(
             end for end in status.ended if end.number > self._acknowledged_end
         )
@@ -478,6 +484,7 @@
                 stop_confirmed=tuple(self._stop_confirmed),
                 terminated=self._worker_ended,
                 crashes=self._started_runs.crashes,
+                reachable=self._is_reachable,
             )
         now_s = self._clock.monotonic()
         report = control.WorkerReport(
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -453,3 +453,17 @@
         return statuses
 
     assert run_scenario(scenario) == [200, 200, 503, 200]
+
+
+# Guards against waits of urgent jobs for a worker that is down: its agent went
+# on reporting it as free until it was back, seconds later.
+def test_no_task_is_placed_on_a_worker_that_refuses_connections() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        for host in world.workers[:-1]:
+            host.runner.crash()
+        await trio.sleep(0.5)
+        await caller.call("POST", f"/queue-0/{JOB_ID}", VALID_JOB)
+        await trio.sleep(0.8)
+        return world.checker.started
+
+    assert run_scenario(scenario) == 1
