--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -7,7 +7,6 @@
 import msgspec
 import trio
 
-from pimentobridge.core.jobs import model
 from pimentobridge.lab import faulty_client
 
 if TYPE_CHECKING:
@@ -245,15 +244,7 @@
 
 async def _shrink_capacity(world: world_lib.World, fault: Fault) -> None:
     runners = [world.workers[number].runner for number in fault.targets]
-    before = [runner.capacity for runner in runners]
-    for runner, capacity in zip(runners, before, strict=True):
-        runner.resize(
-            model.Resources(
-                capacity.cpu_millicores // 2,
-                capacity.memory_mib // 2,
-                capacity.accelerators // 2,
-            )
-        )
+    before = [runner.halve_capacity() for runner in runners]
     await trio.sleep(fault.for_s)
     for runner, capacity in zip(runners, before, strict=True):
         runner.resize(capacity)
--- a/pimentobridge/lab/soak.py
+++ b/pimentobridge/lab/soak.py
@@ -46,6 +46,8 @@
 COMPLETION_TIMEOUT_S = 90.0
 RESTART_DELAY_S = 0.5
 TERMINATION_GRACE_S = 6.0
+# Share of the tasks first started during the fault that crash their runners.
+DEADLY_SHARE = 0.2
 
 
 class SoakResult(msgspec.Struct, frozen=True):
@@ -269,6 +271,8 @@
             self._slow_runner_calls,
             self._make_store_busy,
             self._crash_runner,
+            self._make_tasks_deadly,
+            self._shrink_capacity,
         ]
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until_s:
@@ -386,6 +390,20 @@
         with self._recorded_fault(f"crash runner {number}"):
             self._platform.crash(number)
 
+    async def _make_tasks_deadly(self, duration_s: float) -> None:
+        with self._recorded_fault(f"deadly tasks for {duration_s:.1f} s"):
+            self._platform.pool.deadly_share = DEADLY_SHARE
+            await trio.sleep(duration_s)
+            self._platform.pool.deadly_share = 0.0
+
+    async def _shrink_capacity(self, duration_s: float) -> None:
+        number = self._fault_rng.randrange(WORKERS)
+        runner = self._platform.runners[number]
+        with self._recorded_fault(f"halve the capacity of runner {number}"):
+            before = runner.halve_capacity()
+            await trio.sleep(duration_s)
+            runner.resize(before)
+
 
 async def _status(url: str) -> int:
     """Returns the status of a GET request, or 0 if there was no response."""
--- a/pimentobridge/testing/platform_runner.py
+++ b/pimentobridge/testing/platform_runner.py
@@ -249,6 +249,18 @@
             self.shrunk_s = self._pool.clock()
         self.capacity = capacity
 
+    def halve_capacity(self) -> model.Resources:
+        """Halves the capacity; returns what it was before."""
+        before = self.capacity
+        self.resize(
+            model.Resources(
+                before.cpu_millicores // 2,
+                before.memory_mib // 2,
+                before.accelerators // 2,
+            )
+        )
+        return before
+
     @property
     def used(self) -> model.Resources:
         """What its runs use, those that are being stopped included."""
--- a/pimentobridge/testing/platform_servers.py
+++ b/pimentobridge/testing/platform_servers.py
@@ -33,6 +33,8 @@
 SERVICE = "plans"
 MAX_LEASE_S = 6.0
 HEARTBEAT_INTERVAL_S = 0.5
+# Time after which a runner that a task has crashed is back.
+RUNNER_RESTART_S = 1.5
 OPERATOR_PATH = "/operator/"
 STARTS_PATH = "/starts"
 WORKERS_PER_RACK = 3
@@ -101,6 +103,7 @@
     Attributes:
         store: the fake store.
         store_busy: whether the store rejects every call with status 503.
+        pool: all runners.
         runners: the current incarnation of each worker's runner.
     """
 
@@ -114,7 +117,7 @@
         self._runner_addresses = runner_addresses
         self.store = platform_store.PlatformStore(trio.current_time)
         self.store_busy = False
-        self._pool = platform_runner.RunnerPool(trio.current_time, observer)
+        self.pool = platform_runner.RunnerPool(trio.current_time, observer)
         self._incarnations = 0
         self.runners = [self._new_runner() for _ in runner_addresses]
 
@@ -139,7 +142,7 @@
             return await fallback(method, path, body, expected_instance)
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._pool.run)
+            nursery.start_soon(self.pool.run)
             nursery.start_soon(_expire_leases, self.store)
             nursery.start_soon(
                 http_server.serve,
@@ -162,7 +165,7 @@
     def _new_runner(self) -> platform_runner.PlatformRunner:
         self._incarnations += 1
         return platform_runner.PlatformRunner(
-            self._pool,
+            self.pool,
             f"worker-{self._incarnations}",
             CAPACITY,
             started_ms=int(time.time() * 1000) + self._incarnations,
@@ -174,6 +177,8 @@
             method: str, path: str, body: Any, expected_instance: str
         ) -> http_client.Answer:
             del method
+            if not self.runners[number].up:
+                return http_client.Answer(503, {})
             return await self.runners[number].handle(
                 path, body, expected_instance
             )
@@ -187,6 +192,11 @@
         while True:
             sequence += 1
             runner = self.runners[number]
+            if not runner.up:
+                await trio.sleep(RUNNER_RESTART_S)
+                if self.runners[number] is runner:
+                    self.runners[number] = self._new_runner()
+                continue
             await client.call(
                 "POST",
                 f"/v1/instances/{runner.worker}/heartbeat",
@@ -199,9 +209,9 @@
                     "slots": 8,
                     "state": "ready",
                     "capacity": {
-                        "cpu": CAPACITY.cpu_millicores,
-                        "memMb": CAPACITY.memory_mib,
-                        "gpu": CAPACITY.accelerators,
+                        "cpu": runner.capacity.cpu_millicores,
+                        "memMb": runner.capacity.memory_mib,
+                        "gpu": runner.capacity.accelerators,
                     },
                     "labels": ["a", f"rack-{number // WORKERS_PER_RACK}"],
                     "sequence": sequence,
