--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -10,6 +10,7 @@
 from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import document_source
 from pimentobridge.daemons import logs
+from pimentobridge.daemons import report_route
 from pimentobridge.daemons import started_runs
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
@@ -30,9 +31,6 @@
 POLL_WAIT_S = 0.5
 POLL_RETRY_PAUSE_S = 0.1
 ORDER_RETRY_PAUSE_S = 0.1
-# An agent whose reports haven't been answered for this long sends them to every
-# entry.
-SCHEDULER_SILENCE_S = 1.2
 
 
 class WorkerAgent:
@@ -64,7 +62,9 @@
         self._endpoint = endpoint
         self._runner = runner
         self._clock = clock
-        self._entries = entries
+        self._reports = report_route.ReportRoute(
+            endpoint=endpoint, entries=entries
+        )
         self._configuration_source = document_source.DocumentSource(
             key=operator_configuration.KEY,
             store=store,
@@ -76,11 +76,8 @@
         self._wake_poll = trio.Event()
         # Highest fencing token in the orders so far.
         self._token = 0
-        self._scheduler: types.Address | None = None
         # Sending time of the newest report that orders answered; 0 for none.
         self._answered_s = 0.0
-        # When a report was last sent to every entry.
-        self._broadcast_s = 0.0
         self._instructions: runs.Instructions | None = None
         self._worker: runs.WorkerIncarnation | None = None
         self._started_runs = started_runs.StartedRuns()
@@ -197,11 +194,11 @@
             self._answered_s = 0.0
             self._wake_poll.set()
             self._wake_report.set()
-        if self._scheduler != orders.scheduler:
-            self._scheduler = orders.scheduler
+        if self._reports.scheduler != orders.scheduler:
+            self._reports.scheduler = orders.scheduler
             self._wake_report.set()
         if orders.entries:
-            self._entries = orders.entries
+            self._reports.entries = orders.entries
         if orders.echo_s < self._answered_s or orders.echo_s == 0.0:
             if orders.echo_s == 0.0:
                 self._wake_report.set()
@@ -494,18 +491,7 @@
             answered_s=self._answered_s,
             worker=observation,
         )
-        # While orders answer no new report, reports don't reach the scheduler.
-        unanswered_s = now_s - max(self._answered_s, self._broadcast_s)
-        if self._scheduler is not None and unanswered_s <= SCHEDULER_SILENCE_S:
-            self._endpoint.send(self._scheduler, report)
-            return
-        self._broadcast_s = now_s
-        recipients = set(self._entries)
-        if self._scheduler is not None:
-            recipients.add(self._scheduler)
-        for entry in sorted(recipients):
-            self._endpoint.reset(entry)
-            self._endpoint.send(entry, report)
+        self._reports.send(report)
 
     async def extend_lease(self) -> None:
         """Renews the lease to its maximum, before this agent stops."""
--- a/pimentobridge/lab/callers.py
+++ b/pimentobridge/lab/callers.py
@@ -9,6 +9,7 @@
 import trio
 
 from pimentobridge.lab import checkers
+from pimentobridge.lab import operator_documents
 from pimentobridge.lab import world as world_lib
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
         advised: priorities of the queues that are subject to a placement
             policy.
     """
-    priority = rng.choice(world_lib.PRIORITIES)
+    priority = rng.choice(operator_documents.PRIORITIES)
     gang = rng.random() < 0.35
     count = rng.choice([1, 2, 3, 4, 6] if gang else [1, 1, 2, 4, 9])
     accelerators = rng.choice([1, 1, 2, 4, 8])
@@ -74,7 +75,7 @@
         id=f"{number:04x}{rng.getrandbits(48):012x}",
         spec=json.dumps(spec),
         steps=steps,
-        max_attempts=world_lib.MAX_ATTEMPTS,
+        max_attempts=operator_documents.MAX_ATTEMPTS,
     )
     return job, priority
 
--- a/pimentobridge/lab/simulation.py
+++ b/pimentobridge/lab/simulation.py
@@ -11,6 +11,7 @@
 from pimentobridge.bench import harness
 from pimentobridge.lab import callers
 from pimentobridge.lab import faults as faults_lib
+from pimentobridge.lab import operator_documents
 from pimentobridge.lab import world as world_lib
 
 if TYPE_CHECKING:
@@ -107,7 +108,7 @@
                     rng, number, advised=ADVISED_PRIORITIES
                 )
                 cancels = rng.random() < CANCEL_SHARE
-                account = rng.choice(world_lib.ACCOUNTS)
+                account = rng.choice(operator_documents.ACCOUNTS)
                 caller = callers.Caller(
                     callers.make_call(world, account),
                     world.checker,
--- a/pimentobridge/lab/soak.py
+++ b/pimentobridge/lab/soak.py
@@ -22,8 +22,8 @@
 
 from pimentobridge.lab import callers
 from pimentobridge.lab import checkers
+from pimentobridge.lab import operator_documents
 from pimentobridge.lab import simulation
-from pimentobridge.lab import world as world_lib
 from pimentobridge.platform import operator_configuration
 from pimentobridge.testing import loopback_proxy
 from pimentobridge.testing import platform_processes
@@ -176,7 +176,7 @@
         return self._format_address(listen)
 
     def _put_configuration(self) -> None:
-        document = world_lib.configuration_document(
+        document = operator_documents.configuration_document(
             1, service=platform_servers.SERVICE
         )
         value = base64.b64encode(msgspec.json.encode(document)).decode()
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import base64
-import hashlib
 import json
 from typing import TYPE_CHECKING
 import zlib
@@ -22,6 +21,7 @@
 from pimentobridge.daemons import worker_agent
 from pimentobridge.lab import checkers
 from pimentobridge.lab import faulty_client
+from pimentobridge.lab import operator_documents
 from pimentobridge.platform import advice
 from pimentobridge.platform import boot_settings
 from pimentobridge.platform import heartbeats
@@ -46,9 +46,6 @@
 STORE_CALL_S = 0.007
 RUNNER_CALL_S = 0.002
 KEY = "key-of-shop"
-ACCOUNTS = ("shop", "guides", "rental")
-PRIORITIES = (0, 1, 2)
-MAX_ATTEMPTS = 3
 # The policy of the advised queues denies each step one worker in this many.
 DENY_ONE_IN = 3
 RESTART_DELAY_S = 0.6
@@ -69,82 +66,6 @@
     return (zlib.crc32(step.encode()) + worker_number) % DENY_ONE_IN != 0
 
 
-def configuration_document(
-    version: int,
-    *,
-    service: str,
-    guaranteed: int = 8,
-    policy: platform_advice.PlatformAdvice | None = None,
-    advised: tuple[int, ...] = (),
-    more_routes: int = 0,
-) -> dict[str, object]:
-    """Returns a configuration in the format that the operator writes.
-
-    Args:
-        version: version of the configuration.
-        service: worker pool that all queues use.
-        guaranteed: accelerators guaranteed to each account.
-        policy: placement policy of the advised queues; None for no policy.
-        advised: priorities of the queues that are subject to the policy.
-        more_routes: number of further queues, with names of their own.
-    """
-    advice_fields = {}
-    if policy is not None:
-        advice_fields = {
-            "advice": {
-                "decisionMs": policy.decision_s * 1000,
-                "eachMs": policy.per_worker_s * 1000,
-                "validityMs": policy.validity_s * 1000,
-            }
-        }
-    return {
-        "version": version,
-        "routes": [
-            {
-                "name": f"queue-{priority}",
-                "hostname": "host.example",
-                "prefix": f"/queue-{priority}/",
-                "service": service,
-                "priority": priority,
-                "maxAttempts": MAX_ATTEMPTS,
-                "stretchFactor": 2.0,
-                "sloMs": 1000,
-                "timeoutMs": 3000,
-            }
-            | (advice_fields if priority in advised else {})
-            for priority in PRIORITIES
-        ]
-        + [_added_route(number, service) for number in range(more_routes)],
-        "services": [{"name": service, "enforcesCapacity": True}],
-        "tenants": [
-            {
-                "name": name,
-                "apiKeys": [f"key-of-{name}"],
-                "guaranteed": {"gpu": guaranteed},
-            }
-            for name in ACCOUNTS
-        ],
-    }
-
-
-def _added_route(number: int, service: str) -> dict[str, object]:
-    """Returns a route whose names compress no better than random ones."""
-    digest = hashlib.sha256(str(number).encode()).hexdigest()
-    return {
-        "name": f"r-{digest[:7]}",
-        "hostname": f"{digest[7:13]}.example",
-        "prefix": f"/{digest[13:20]}/",
-        "type": "non_idempotent",
-        "timeoutMs": 3002,
-        "sloMs": 1000,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": MAX_ATTEMPTS,
-        "stretchFactor": 3.0,
-        "allowAnonymous": False,
-    }
-
-
 class EntryHost:
     """A simulated machine that runs an entry process.
 
@@ -499,7 +420,7 @@
         """
         self._added_routes += more_routes
         self.version += self.rng.randint(1, 3)
-        document = configuration_document(
+        document = operator_documents.configuration_document(
             self.version,
             service=SERVICE,
             guaranteed=guaranteed,
@@ -515,7 +436,7 @@
     @property
     def routes(self) -> int:
         """Number of routes in the newest configuration."""
-        return len(PRIORITIES) + self._added_routes
+        return len(operator_documents.PRIORITIES) + self._added_routes
 
     def start(self) -> None:
         """Starts every machine."""
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -20,6 +20,7 @@
 from pimentobridge.lab import callers
 from pimentobridge.lab import checkers
 from pimentobridge.lab import faulty_client
+from pimentobridge.lab import operator_documents
 from pimentobridge.lab import world as world_lib
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
         id=f"{number:016x}",
         spec=json.dumps(spec),
         steps=[step],
-        max_attempts=world_lib.MAX_ATTEMPTS,
+        max_attempts=operator_documents.MAX_ATTEMPTS,
     )
 
 
@@ -66,7 +67,9 @@
                 for number in range(jobs):
                     job = make_submission(number, count=4)
                     caller = callers.Caller(
-                        callers.make_call(world, world_lib.ACCOUNTS[0]),
+                        callers.make_call(
+                            world, operator_documents.ACCOUNTS[0]
+                        ),
                         world.checker,
                         job,
                         path=f"/queue-1/{job.id}",
