Move gangs whose slowest member can't end before a worker leaves

Cause: whether a run can end in time was judged by its own progress, though a gang ends with its slowest member; a third of the workers takes 1.3 times as long. Holds made the same mistake.

Now the slowest member decides. The test fails without the change: nothing is stopped.

--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -35,25 +35,32 @@
     leaves_in_s = None
     if worker.incarnation is not None and not worker.evacuated:
         leaves_in_s = worker.incarnation.leaves_in_s
-    return [
-        member
-        for entry in list(worker.entries_by_key.values())
-        if entry.is_current
-        and not entry.stop_requested
-        and _must_move(entry, leaves_in_s, now_s)
-        for member in _members(entry, workers_by_incarnation)
-        if not member.stop_requested
-    ]
+    moving: dict[runs.RunKey, ledger.RunEntry] = {}
+    for entry in worker.entries_by_key.values():
+        if not entry.is_current or entry.stop_requested:
+            continue
+        members = list(_members(entry, workers_by_incarnation))
+        if _must_move(entry, members, leaves_in_s, now_s):
+            moving |= {
+                member.key: member
+                for member in members
+                if not member.stop_requested
+            }
+    return list(moving.values())
 
 
 def _must_move(
-    entry: ledger.RunEntry, leaves_in_s: float | None, now_s: float
+    entry: ledger.RunEntry,
+    members: list[ledger.RunEntry],
+    leaves_in_s: float | None,
+    now_s: float,
 ) -> bool:
     if entry.step.checkpointing:
         return True
     if entry.step.long_running or leaves_in_s is None:
         return False
-    return entry.remaining_s(now_s) > leaves_in_s
+    # A gang ends with its slowest member.
+    return max(member.remaining_s(now_s) for member in members) > leaves_in_s
 
 
 def _members(
--- a/pimentobridge/core/scheduling/holds.py
+++ b/pimentobridge/core/scheduling/holds.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -102,8 +103,16 @@
 
     Of runs that end at the same time, those on less used workers come first.
     """
+    # The members of a gang end together, with the slowest one.
+    remaining_s_by_unit: dict[int, float] = collections.defaultdict(float)
+    for worker in workers:
+        for entry in worker.entries_by_key.values():
+            unit = id(entry.unit)
+            remaining_s_by_unit[unit] = max(
+                remaining_s_by_unit[unit], entry.remaining_s(now_s)
+            )
     timed = [
-        (entry.remaining_s(now_s), worker, entry)
+        (remaining_s_by_unit[id(entry.unit)], worker, entry)
         for worker in workers
         for entry in worker.entries_by_key.values()
     ]
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -16,6 +16,8 @@
 
 # Run time assumed for tasks without an estimate.
 DEFAULT_ESTIMATE_S = 5.0
+# Progress from which a run's rate is known.
+MIN_SEEN_PERCENT = 5
 
 
 @dataclasses.dataclass
@@ -133,13 +135,20 @@
         return earlier_s + now_s - self.started_s
 
     def remaining_s(self, now_s: float) -> float:
-        """Returns the expected remaining time, in seconds."""
+        """Returns the expected remaining time of its own work, in seconds.
+
+        A member of a gang also waits for the others.
+        """
         if self.stop_requested or not self.is_current:
             return 0.0
         if self.step.long_running:
             return float("inf")
         elapsed_s = self.execution_time_s(now_s)
         if self.percent:
+            seen_percent = self.percent - self.first_percent
+            if self.started_s is not None and seen_percent >= MIN_SEEN_PERCENT:
+                seen_s = now_s - self.started_s
+                return seen_s * (100 - self.percent) / seen_percent
             return elapsed_s * (100 - self.percent) / self.percent
         return max(
             0.0, (self.step.estimate_s or DEFAULT_ESTIMATE_S) - elapsed_s
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -495,6 +495,25 @@
     assert _moved_members(2.0, 6.0) == []
 
 
+# Guards against SHORT (issue 23): a gang stayed on a worker that left before
+# the gang's slowest member, on another worker, could end.
+def test_a_gang_moves_if_its_slowest_member_cannot_end_in_time() -> None:
+    harness = EngineHarness(2)
+    gang = model.Step(2, WORKER, 20.0, gang=True)
+    (_, first), (_, second) = started(harness.submit(job("a" * 16, gang)))
+    harness.observe(0, running=just_started(first))
+    harness.observe(1, running=just_started(second))
+    harness.clock.advance(10.0)
+    slow = runs.RunningTask(second, "", 50)
+    harness.observe(1, running=(slow,))
+    harness.incarnations[0] = msgspec.structs.replace(
+        harness.incarnations[0], draining=True, leaves_in_s=5.0
+    )
+    fast = runs.RunningTask(first, "", 80)
+    assert harness.observe(0, running=(fast,)).stops == (first,)
+    assert harness.observe(1, running=(slow,)).stops == (second,)
+
+
 def test_a_terminated_worker_releases_its_runs_at_once() -> None:
     harness = EngineHarness(2)
     ((number, key),) = started(harness.submit(job()))
