Notice the return of a silent store within a quarter of a second

Cause: probes followed each other, and one that was sent just before the return waited for 0.8 s in vain. Now a probe is sent every 0.25 s, whether the last one is answered or not.

--- a/pimentobridge/daemons/store_mirror.py
+++ b/pimentobridge/daemons/store_mirror.py
@@ -19,6 +19,9 @@
 # this time and the margin that the client adds to it.
 WATCH_WAIT_S = 1.5
 RETRY_PAUSE_S = 0.1
+# A probe that was sent just before the store's return waits in vain for its
+# whole timeout, so the next one doesn't wait for it.
+PROBE_INTERVAL_S = 0.25
 # Answers with values of at least this size are logged, with their times.
 LOGGED_ANSWER_BYTES = 64 * 1024
 
@@ -148,15 +151,20 @@
             await self._wait_until_reachable()
 
     async def _wait_until_reachable(self) -> None:
-        """Polls with short calls until one is answered.
+        """Sends short calls at an interval until one of them is answered.
 
         A watch could hang for the rest of an outage.
         """
-        while True:
-            await trio.sleep(RETRY_PAUSE_S)
-            # No item has this key, so that the answer is always short.
-            if (await self._store.get(f"{self._prefix}?")).is_ok():
-                return
+        async with trio.open_nursery() as probes:
+            while True:
+                await trio.sleep(PROBE_INTERVAL_S)
+                probes.start_soon(self._probe, probes.cancel_scope)
+
+    async def _probe(self, outage: trio.CancelScope) -> None:
+        """Asks the store once; an answer ends the outage."""
+        # No item has this key, so that the answer is always short.
+        if (await self._store.get(f"{self._prefix}?")).is_ok():
+            outage.cancel()
 
     def _log_large_answer(
         self, items: list[kv_store.Item], called_s: float
