Give up the runs of a crashed worker that stays away beyond its lease

The agent counts polls in a row that can't have reached the worker; once they cover the lease with its clock error, the incarnation has ended and counts as crashed. Polls are counted, not time, as the worker's clock may stand still while the machine is suspended.

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -143,8 +143,8 @@
             run and never will.
         terminated: the incarnation has ended, and with it all its runs.
         reachable: whether the worker accepted the latest connection.
-        crashes: earlier incarnations on the machine that ended without notice
-            while this agent served them.
+        crashes: incarnations on the machine that ended without notice while
+            this agent served them.
     """
 
     incarnation: WorkerIncarnation
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -199,6 +199,7 @@
         worker.reachable = observation.reachable
         self._apply_reported_runs(worker, observation)
         if observation.terminated:
+            self._count_crashes(worker, agent, observation)
             self._remove_incarnation(key, "incarnation ended")
         elif observation.incarnation.draining:
             self._evacuate(worker)
@@ -277,20 +278,28 @@
         for old_key, worker in list(self.workers_by_incarnation.items()):
             same_machine = old_key.worker == key.worker or worker.agent == agent
             if same_machine and old_key.started_ms < key.started_ms:
-                for crash in observation.crashes:
-                    if crash.incarnation == old_key:
-                        self._count_crash(worker, agent, crash)
+                self._count_crashes(worker, agent, observation)
                 self._remove_incarnation(
                     old_key, "replaced by a newer incarnation"
                 )
 
+    def _count_crashes(
+        self,
+        worker: fleet.TrackedWorker,
+        agent: types.Address,
+        observation: runs.Observation,
+    ) -> None:
+        """Counts a crash of `worker` under the runs that may have caused it."""
+        for crash in observation.crashes:
+            if crash.incarnation == worker.key:
+                self._count_crash(worker, agent, crash)
+
     def _count_crash(
         self,
         worker: fleet.TrackedWorker,
         agent: types.Address,
         crash: runs.Crash,
     ) -> None:
-        """Counts a crash under the runs that may have caused it."""
         for entry in crashes.culprits(worker, crash):
             machines = crashes.count(entry, agent)
             self._log(
--- a/pimentobridge/daemons/started_runs.py
+++ b/pimentobridge/daemons/started_runs.py
@@ -41,14 +41,14 @@
         self.started -= over
         self._unanswered -= over
 
-    def on_replaced(
+    def on_ended(
         self,
         incarnation: runs.IncarnationKey,
         running: Iterable[runs.RunKey],
         *,
         announced: bool,
     ) -> None:
-        """Notes that another incarnation has taken the place of this one.
+        """Notes that an incarnation has ended.
 
         Args:
             incarnation: the one that has ended.
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -99,6 +99,8 @@
         self._clock_read_s = 0.0
         self._has_polled = False
         self._is_reachable = True
+        # Polls in a row that can't have reached the worker.
+        self._unreachable_polls = 0
         self._deregistered = False
         self._worker_ended = False
 
@@ -141,7 +143,7 @@
                 born_ms=heartbeat.incarnation.key.started_ms,
                 earlier=current.key.worker if current else None,
             )
-            self._note_replacement()
+            self._note_end_of_incarnation()
             self._clear_worker_state()
             self._instructions = None
             self._sequence = 0
@@ -154,9 +156,9 @@
             self._wake_poll.set()
             self._wake_report.set()
 
-    def _note_replacement(self) -> None:
+    def _note_end_of_incarnation(self) -> None:
         if self._worker is not None:
-            self._started_runs.on_replaced(
+            self._started_runs.on_ended(
                 self._worker.key,
                 (task.key for task in self._running),
                 announced=self._worker.draining or self._deregistered,
@@ -295,6 +297,8 @@
                 token=token,
                 outcome=outcome.value,
             )
+            if outcome is not runner_lib.StartResult.UNREACHABLE:
+                self._unreachable_polls = 0
             if outcome is runner_lib.StartResult.UNKNOWN:
                 self._started_runs.on_unanswered(order.key)
             if outcome is runner_lib.StartResult.RUNNING:
@@ -387,6 +391,7 @@
             )
             if not await self._poll(wait_s):
                 await trio.sleep(POLL_RETRY_PAUSE_S)
+                self._detect_expired_lease()
             elif unacknowledged:
                 await self._wait_for_poll(POLL_RETRY_PAUSE_S)
 
@@ -417,6 +422,8 @@
         )
         if not self._is_current(incarnation):
             return False
+        if response is not runner_lib.PollFailure.UNREACHABLE:
+            self._unreachable_polls = 0
         if isinstance(response, runner_lib.PollFailure):
             logs.event(
                 "look failed", worker=incarnation.worker, why=response.value
@@ -439,15 +446,39 @@
     def _on_unreachable(self) -> None:
         if self._deregistered or self._is_reachable:
             self._wake_report.set()
-        self._worker_ended = self._deregistered
+        self._worker_ended |= self._deregistered
         self._is_reachable = False
 
+    def _detect_expired_lease(self) -> None:
+        """Declares a worker that can't be reached ended once its lease is over.
+
+        Nothing that could have renewed the lease has reached it since. Polls
+        are counted, as the worker's clock may stand still while the machine is
+        suspended.
+        """
+        if self._is_reachable or self._worker is None:
+            return
+        self._unreachable_polls += 1
+        passed_s = self._unreachable_polls * POLL_RETRY_PAUSE_S
+        lease_s = self._settings.max_lease_s * (1 + engine.CLOCK_RATE_ERROR)
+        if self._worker_ended or passed_s <= lease_s + engine.LEASE_SLACK_S:
+            return
+        logs.event(
+            "worker gone",
+            worker=self._worker.key.worker,
+            unreachable_polls=self._unreachable_polls,
+        )
+        self._note_end_of_incarnation()
+        self._worker_ended = True
+        self._wake_report.set()
+
     def _apply_status(self, status: runner_lib.RunnerStatus) -> None:
         self._clock_s = status.clock_s
         self._clock_read_s = self._clock.monotonic()
         self._has_polled = True
         if not self._is_reachable:
             self._is_reachable = True
+            self._worker_ended = False
             self._wake_report.set()
         ended = tuple(
             end for end in status.ended if end.number > self._acknowledged_end
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,6 +6,7 @@
 
 from pimentobridge.lab import faults
 from pimentobridge.lab import simulation
+from pimentobridge.lab import world
 
 DEADLY = faults.Fault("tasks crash their runners", 1.0, 25.0)
 
@@ -37,3 +38,13 @@
         faults.Fault("store resets", 20.0, 4.0),
     ]
     assert simulation.run(seed, [DEADLY, *outages]).findings == []
+
+
+# Guards against runs (issue 23) that wait without end for a worker that isn't
+# back when its lease is over, as its agent goes on reporting them.
+@pytest.mark.parametrize("seed", range(4, 7))
+def test_runs_are_given_up_when_a_crashed_worker_stays_away(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(world, "RUNNER_RESTART_S", 14.0)
+    assert simulation.run(seed, [DEADLY]).findings == []
