--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -12,6 +12,7 @@
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import report_route
 from pimentobridge.daemons import started_runs
+from pimentobridge.daemons import worker_contact
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
 from pimentobridge.protocol import control
@@ -29,7 +30,6 @@
 
 REPORT_INTERVAL_S = 0.5
 POLL_WAIT_S = 0.5
-POLL_RETRY_PAUSE_S = 0.1
 ORDER_RETRY_PAUSE_S = 0.1
 
 
@@ -98,11 +98,7 @@
         self._clock_s = 0.0
         self._clock_read_s = 0.0
         self._has_polled = False
-        self._is_reachable = True
-        # Polls in a row that can't have reached the worker.
-        self._unreachable_polls = 0
-        self._deregistered = False
-        self._worker_ended = False
+        self._contact = worker_contact.WorkerContact(self._settings.max_lease_s)
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -161,13 +157,13 @@
             self._started_runs.on_ended(
                 self._worker.key,
                 (task.key for task in self._running),
-                announced=self._worker.draining or self._deregistered,
+                announced=self._worker.draining or self._contact.deregistered,
             )
 
     def on_deregistered(self, worker: str) -> None:
         """Notes that the worker has announced that it is shutting down."""
         if self._worker is not None and self._worker.key.worker == worker:
-            self._deregistered = True
+            self._contact.deregistered = True
 
     # Orders of the scheduler.
 
@@ -206,18 +202,16 @@
                 self._wake_report.set()
             return
         self._answered_s = orders.echo_s
-        if not self._may_act() or orders.worker is None:
+        instructions = orders.worker
+        if instructions is None or not self._may_act():
             return
-        if (
-            self._worker is None
-            or orders.worker.incarnation != self._worker.key
-        ):
+        if not self._is_current(instructions.incarnation):
             return
-        self._instructions = orders.worker
-        if orders.worker.acknowledged_end > self._acknowledged_end:
-            self._acknowledged_end = orders.worker.acknowledged_end
+        self._instructions = instructions
+        if instructions.acknowledged_end > self._acknowledged_end:
+            self._acknowledged_end = instructions.acknowledged_end
             self._wake_poll.set()
-        self._act_on(orders.worker)
+        self._act_on(instructions)
 
     def _act_on(self, instructions: runs.Instructions) -> None:
         ordered = {order.key for order in instructions.starts}
@@ -266,8 +260,7 @@
     ) -> bool:
         return (
             self._may_act()
-            and self._worker is not None
-            and self._worker.key == incarnation
+            and self._is_current(incarnation)
             and self._instructions is not None
             and any(order.key == key for order in self._instructions.starts)
         )
@@ -298,7 +291,7 @@
                 outcome=outcome.value,
             )
             if outcome is not runner_lib.StartResult.UNREACHABLE:
-                self._unreachable_polls = 0
+                self._contact.on_possible_arrival()
             if outcome is runner_lib.StartResult.UNKNOWN:
                 self._started_runs.on_unanswered(order.key)
             if outcome is runner_lib.StartResult.RUNNING:
@@ -308,12 +301,7 @@
             if outcome is runner_lib.StartResult.RUN_ENDED:
                 await self._report_refusal(incarnation, order.key)
                 return
-            if outcome in (
-                runner_lib.StartResult.INSUFFICIENT_CAPACITY,
-                runner_lib.StartResult.TICKET_REJECTED,
-                runner_lib.StartResult.INVALID,
-                runner_lib.StartResult.UNHEALTHY,
-            ):
+            if outcome in runner_lib.REFUSALS:
                 # An earlier start without an answer may still take effect. A
                 # stop makes the worker refuse the run from then on.
                 if await self._stop_permanently(incarnation, order.key):
@@ -390,10 +378,10 @@
                 0.0 if unacknowledged or not self._has_polled else POLL_WAIT_S
             )
             if not await self._poll(wait_s):
-                await trio.sleep(POLL_RETRY_PAUSE_S)
-                self._detect_expired_lease()
+                await trio.sleep(worker_contact.POLL_RETRY_PAUSE_S)
+                self._detect_end()
             elif unacknowledged:
-                await self._wait_for_poll(POLL_RETRY_PAUSE_S)
+                await self._wait_for_poll(worker_contact.POLL_RETRY_PAUSE_S)
 
     async def _wait_for_poll(self, timeout_s: float) -> None:
         with trio.move_on_after(timeout_s):
@@ -423,13 +411,14 @@
         if not self._is_current(incarnation):
             return False
         if response is not runner_lib.PollFailure.UNREACHABLE:
-            self._unreachable_polls = 0
+            self._contact.on_possible_arrival()
         if isinstance(response, runner_lib.PollFailure):
             logs.event(
                 "look failed", worker=incarnation.worker, why=response.value
             )
-            if response is runner_lib.PollFailure.UNREACHABLE:
-                self._on_unreachable()
+            unreachable = response is runner_lib.PollFailure.UNREACHABLE
+            if unreachable and self._contact.on_unreachable():
+                self._wake_report.set()
             return False
         if response.born_ms not in (0, incarnation.started_ms):
             logs.event(
@@ -443,42 +432,23 @@
         self._apply_status(response)
         return True
 
-    def _on_unreachable(self) -> None:
-        if self._deregistered or self._is_reachable:
-            self._wake_report.set()
-        self._worker_ended |= self._deregistered
-        self._is_reachable = False
-
-    def _detect_expired_lease(self) -> None:
-        """Declares a worker that can't be reached ended once its lease is over.
-
-        Nothing that could have renewed the lease has reached it since. Polls
-        are counted, as the worker's clock may stand still while the machine is
-        suspended.
-        """
-        if self._is_reachable or self._worker is None:
-            return
-        self._unreachable_polls += 1
-        passed_s = self._unreachable_polls * POLL_RETRY_PAUSE_S
-        lease_s = self._settings.max_lease_s * (1 + engine.CLOCK_RATE_ERROR)
-        if self._worker_ended or passed_s <= lease_s + engine.LEASE_SLACK_S:
+    def _detect_end(self) -> None:
+        """Reports the worker as ended once its lease must be over."""
+        if self._worker is None or not self._contact.on_retry_pause():
             return
         logs.event(
             "worker gone",
             worker=self._worker.key.worker,
-            unreachable_polls=self._unreachable_polls,
+            unreachable_polls=self._contact.unreachable_polls,
         )
         self._note_end_of_incarnation()
-        self._worker_ended = True
         self._wake_report.set()
 
     def _apply_status(self, status: runner_lib.RunnerStatus) -> None:
         self._clock_s = status.clock_s
         self._clock_read_s = self._clock.monotonic()
         self._has_polled = True
-        if not self._is_reachable:
-            self._is_reachable = True
-            self._worker_ended = False
+        if self._contact.on_answer():
             self._wake_report.set()
         ended = tuple(
             end for end in status.ended if end.number > self._acknowledged_end
@@ -510,9 +480,9 @@
                 ended=self._ended,
                 refused=tuple(self._refused),
                 stop_confirmed=tuple(self._stop_confirmed),
-                terminated=self._worker_ended,
+                terminated=self._contact.ended,
                 crashes=self._started_runs.crashes,
-                reachable=self._is_reachable,
+                reachable=self._contact.reachable,
             )
         now_s = self._clock.monotonic()
         report = control.WorkerReport(
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -44,6 +44,17 @@
     UNKNOWN = "unknown"
 
 
+# The worker won't carry out this order, and the scheduler has to decide anew.
+REFUSALS = frozenset(
+    {
+        StartResult.INSUFFICIENT_CAPACITY,
+        StartResult.TICKET_REJECTED,
+        StartResult.INVALID,
+        StartResult.UNHEALTHY,
+    }
+)
+
+
 class StopResult(enum.Enum):
     """Outcome of an order to stop a run.
 
