--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -19,6 +19,7 @@
     {"time": 1.0, "node": "entry", "message": "job submitted", "job": "ab"},
     {"time": 1.5, "node": "entry", "message": "store lost", "why": "unknown"},
     {"time": 1.2, "node": "entry", "message": "job submitted", "job": "abc"},
+    {"time": 1.6, "node": "entry", "message": "worker gone", "worker": "w"},
 ]
 
 
@@ -48,6 +49,7 @@
 ) -> None:
     _, output = _explain(monkeypatch, "ab", "--context")
     assert "store lost" in output
+    assert "worker gone" in output
     assert "abc" not in output
 
 
