--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -12,6 +12,7 @@
 from pimentobridge.daemons import http_server
 from pimentobridge.daemons import job_api
 from pimentobridge.daemons import job_entry
+from pimentobridge.daemons import link_use
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import platform_process
 from pimentobridge.platform import advice
@@ -41,12 +42,14 @@
     settings: boot_settings.ProcessSettings, listeners: listening.Listeners
 ) -> int:
     clock = boot_clock.BootClock()
+    endpoint = zmq_transport.ZmqEndpoint(
+        types.Address(f"tcp://{settings.ip}:{settings.internal_ports[0]}")
+    )
+    store_client = http_client.HttpClient(settings.store)
     entry = job_entry.JobEntry(
         settings=settings,
-        endpoint=zmq_transport.ZmqEndpoint(
-            types.Address(f"tcp://{settings.ip}:{settings.internal_ports[0]}")
-        ),
-        store=kv_store.KvStore(http_client.HttpClient(settings.store)),
+        endpoint=endpoint,
+        store=kv_store.KvStore(store_client),
         clock=clock,
         nonce=uuid.uuid4().hex,
         policy_service=(
@@ -55,6 +58,17 @@
             else None
         ),
     )
+    link = link_use.LinkUse(
+        link_mbps=settings.link_mbps,
+        counters={
+            "store": lambda: link_use.Traffic(
+                store_client.sent_bytes, store_client.received_bytes
+            ),
+            "processes": lambda: link_use.Traffic(
+                endpoint.sent_bytes, endpoint.received_bytes
+            ),
+        },
+    )
     app = job_api.CallerApi(entry, clock=clock)
     binds = [settings.front, settings.ready]
     if settings.control:
@@ -62,6 +76,7 @@
     stopped = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(entry.run)
+        nursery.start_soon(link.run)
         nursery.start_soon(
             http_server.serve,
             app,
--- a/pimentobridge/daemons/leadership.py
+++ b/pimentobridge/daemons/leadership.py
@@ -213,6 +213,20 @@
             self._valid_until_s = max(self._valid_until_s, sent_s + LEASE_S)
         elif renewed.err_value is kv_store.StoreError.LEASE_ENDED:
             self._end_term("lease ended")
+        else:
+            self._log_failed_renewal(sent_s, renewed.err_value)
+
+    def _log_failed_renewal(
+        self, sent_s: float, error: kv_store.StoreError
+    ) -> None:
+        now_s = self._clock.monotonic()
+        logs.event(
+            "lease not renewed",
+            token=self.token,
+            error=error.value,
+            took_s=round(now_s - sent_s, 3),
+            valid_for_s=round(self._valid_until_s - now_s, 3),
+        )
 
     def step_down(self, reason: str) -> None:
         """Ends the term because this entry no longer holds the key."""
--- a/pimentobridge/platform/http_client.py
+++ b/pimentobridge/platform/http_client.py
@@ -71,6 +71,10 @@
         address: `IP:PORT`.
         max_connections: limit on concurrent connections.
         network: opens the connections; None for the operating system's.
+
+    Attributes:
+        sent_bytes: bytes of the bodies of all calls.
+        received_bytes: bytes of the bodies of all answers.
     """
 
     def __init__(
@@ -80,6 +84,8 @@
         max_connections: int = MAX_CONNECTIONS,
         network: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self._base = f"http://{address}"
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
@@ -111,6 +117,7 @@
             The response, or why there is none.
         """
         content = b"" if body is None else msgspec.json.encode(body)
+        self.sent_bytes += len(content)
         sent_headers = dict(headers or {})
         if body is not None:
             sent_headers["Content-Type"] = "application/json"
@@ -129,7 +136,7 @@
                     content=content,
                     extensions={"timeout": timeouts},
                 ) as response:
-                    received = await _received(response, scope)
+                    received = await self._received(response, scope)
         except (
             httpcore.ConnectError,
             httpcore.ConnectTimeout,
@@ -145,18 +152,18 @@
             return Failure.NO_ANSWER
         return Answer(response.status, _decoded(received))
 
-
-async def _received(
-    response: httpcore.Response, scope: trio.CancelScope
-) -> bytes:
-    """Returns the body; each part of it extends the deadline of the scope."""
-    parts = []
-    async for part in response.aiter_stream():
-        parts.append(part)
-        scope.deadline = max(
-            scope.deadline, trio.current_time() + PROGRESS_TIMEOUT_S
-        )
-    return b"".join(parts)
+    async def _received(
+        self, response: httpcore.Response, scope: trio.CancelScope
+    ) -> bytes:
+        """Returns the body; each part of it extends the scope's deadline."""
+        parts = []
+        async for part in response.aiter_stream():
+            parts.append(part)
+            self.received_bytes += len(part)
+            scope.deadline = max(
+                scope.deadline, trio.current_time() + PROGRESS_TIMEOUT_S
+            )
+        return b"".join(parts)
 
 
 def _decoded(content: bytes) -> dict[str, Any]:
