Don't fill slow links with reads of the configuration when its source is lost

Cause: an entry whose copy hadn't been confirmed for 2.5 s read the configuration in full from the store, whether there was a newer version or not. A confirmation took up to 2.3 s already, so one lost source (a side machine that is removed) was enough. The read held up the parts of the next source, which was then replaced as silent in its turn.

Change: an agent that is told to stop says so to those that ask it. A source is replaced after 0.5 s of silence in place of 1.0 to 1.5 s, and not asked again for 30 s. Sources confirm copies twice as often. The read from the store isn't begun, or is broken off, while parts arrive. Entries come last in the order, as they only pass on what they got; every third source is of another region.

--- a/pimentobridge/daemons/configuration_follower.py
+++ b/pimentobridge/daemons/configuration_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import trio
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Mapping
 
     from pimentobridge.core import clock as clock_lib
@@ -29,10 +31,6 @@
 # The other way is taken too when the first one hasn't shown for this time that
 # the entry has the newest version.
 FALLBACK_AFTER_S = 2.5
-# Limits on the agents that may be asked, in this region and in others. All
-# entries of a region ask the same ones, so that few read the document.
-MAX_NEAR_SOURCES = 4
-MAX_FAR_SOURCES = 2
 
 
 class ConfigurationFollower:
@@ -69,12 +67,6 @@
         self.document = document_lib.Document(
             key=operator_configuration.KEY, clock=clock, on_version=on_version
         )
-        self._reader = document_lib.StoreReader(
-            document=self.document,
-            store=store,
-            clock=clock,
-            wanted=lambda: self._has_fast_link or self._out_of_date,
-        )
         self.client = document_client.DocumentClient(
             document=self.document,
             endpoint=endpoint,
@@ -82,6 +74,12 @@
             clock=clock,
             wanted=lambda: not self._has_fast_link or self._out_of_date,
         )
+        self._reader = document_lib.StoreReader(
+            document=self.document,
+            store=store,
+            clock=clock,
+            wanted=lambda: self._has_fast_link or self._needs_store,
+        )
         self.server = document_server.DocumentServer(
             document=self.document, endpoint=endpoint, clock=clock
         )
@@ -97,8 +95,22 @@
     def _out_of_date(self) -> bool:
         return self.document.age_s > FALLBACK_AFTER_S
 
-    def _sources(self) -> list[types.Address]:
-        """Returns agents of this region, then others, then the entries."""
+    @property
+    def _needs_store(self) -> bool:
+        # On a slow link a read from the store would hold up the parts.
+        return self._out_of_date and not self.client.receiving
+
+    def _sources(
+        self, avoided: Collection[types.Address]
+    ) -> list[types.Address]:
+        """Returns the processes to ask, in the order of preference.
+
+        Every third one is an agent of another region, as all of this region may
+        lack the store. Entries, which pass on what others gave them, come last.
+
+        Args:
+            avoided: those that are returned only in the absence of others.
+        """
         near: list[types.Address] = []
         far: list[types.Address] = []
         entries: list[types.Address] = []
@@ -108,13 +120,23 @@
                 (near if is_near else far).append(keys.address_of(key))
             elif key.startswith(keys.ENTRIES):
                 entries.append(keys.address_of(key))
-        topic = f"{self.document.key}/{self._region}"
+        everyone = self._in_turns(near, far, entries)
         return [
-            *rendezvous.ranked(topic, near)[:MAX_NEAR_SOURCES],
-            *rendezvous.ranked(topic, far)[:MAX_FAR_SOURCES],
-            *(
-                entry
-                for entry in rendezvous.ranked(topic, entries)
-                if entry != self._address
-            ),
-        ]
+            source for source in everyone if source not in avoided
+        ] or everyone
+
+    def _in_turns(
+        self,
+        near: list[types.Address],
+        far: list[types.Address],
+        entries: list[types.Address],
+    ) -> list[types.Address]:
+        # All entries of a region rank alike, so that few agents read the
+        # document.
+        topic = f"{self.document.key}/{self._region}"
+        near = rendezvous.ranked(topic, near)
+        far = rendezvous.ranked(topic, far)
+        others = [entry for entry in entries if entry != self._address]
+        turns = itertools.zip_longest(near[::2], near[1::2], far)
+        agents = [agent for turn in turns for agent in turn if agent]
+        return [*agents, *rendezvous.ranked(topic, others)]
--- a/pimentobridge/daemons/document.py
+++ b/pimentobridge/daemons/document.py
@@ -19,10 +19,9 @@
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.platform import kv_store
 
-# The store answers a watch within this time.
 WATCH_WAIT_S = 1.5
 RETRY_PAUSE_S = 0.1
-IDLE_PAUSE_S = 0.25
+IDLE_PAUSE_S = 0.1
 
 
 class Document:
@@ -101,7 +100,9 @@
         document: the copy to keep up to date.
         store: the platform's store.
         clock: source of time.
-        wanted: returns whether to follow at the moment.
+        wanted: returns whether to follow at the moment; a call under way is
+            abandoned when that ends.
+        watch_wait_s: time within which the store answers a watch, in seconds.
     """
 
     def __init__(
@@ -111,11 +112,13 @@
         store: kv_store.KvStore,
         clock: clock_lib.Clock,
         wanted: Callable[[], bool],
+        watch_wait_s: float = WATCH_WAIT_S,
     ) -> None:
         self._document = document
         self._store = store
         self._clock = clock
         self._wanted = wanted
+        self._watch_wait_s = watch_wait_s
         # Revision of the store at the latest answer; 0 if the newest version
         # must be read, as watches would return each version since.
         self._watched_revision = 0
@@ -126,10 +129,24 @@
             if not self._wanted():
                 self._watched_revision = 0
                 await trio.sleep(IDLE_PAUSE_S)
-            elif not await self._ask():
+            elif not await self._ask_while_wanted():
                 self._watched_revision = 0
                 await trio.sleep(RETRY_PAUSE_S)
 
+    async def _ask_while_wanted(self) -> bool:
+        """Reads or watches once; returns whether the store answered."""
+        answered = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_when_unwanted, nursery.cancel_scope)
+            answered = await self._ask()
+            nursery.cancel_scope.cancel()
+        return answered
+
+    async def _cancel_when_unwanted(self, call: trio.CancelScope) -> None:
+        while self._wanted():
+            await trio.sleep(IDLE_PAUSE_S)
+        call.cancel()
+
     async def _ask(self) -> bool:
         """Reads or watches once; returns whether the store answered."""
         if not self._watched_revision:
@@ -137,7 +154,7 @@
         changes = await self._store.watch(
             self._document.key,
             after_revision=self._watched_revision,
-            wait_s=WATCH_WAIT_S,
+            wait_s=self._watch_wait_s,
         )
         if isinstance(changes, result.Err):
             return False
--- a/pimentobridge/daemons/document_client.py
+++ b/pimentobridge/daemons/document_client.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
@@ -21,9 +22,14 @@
     from pimentobridge.protocol import transport
 
 QUERY_INTERVAL_S = 0.5
-# A source that hasn't answered a query for this time is asked again, and the
-# next one too. A part takes a tenth of it on an idle link of 5 Mbit/s.
-ANSWER_TIMEOUT_S = 1.0
+# A source that hasn't answered a query for this time is replaced. A part takes
+# a fifth of it on an idle link of 5 Mbit/s; one that comes later is taken, too.
+ANSWER_TIMEOUT_S = 0.5
+# A source that was replaced is asked again only after this time, unless there
+# is no other.
+AVOIDED_S = 30.0
+# The parts count as arriving until this time after the latest one.
+RECEIVING_S = 0.5
 # A source that hasn't heard from the store for this time is replaced.
 MAX_SOURCE_AGE_S = 2.5
 # Time that a source has to read the document once it is first asked.
@@ -81,7 +87,8 @@
     Args:
         document: the copy to keep up to date.
         endpoint: transport to the other processes.
-        sources: returns the processes to ask, in the order of preference.
+        sources: returns the processes to ask, in the order of preference, given
+            those to avoid.
         clock: source of time.
         wanted: returns whether to follow at the moment.
     """
@@ -91,7 +98,7 @@
         *,
         document: document_lib.Document,
         endpoint: transport.Outbox,
-        sources: Callable[[], list[types.Address]],
+        sources: Callable[[Collection[types.Address]], list[types.Address]],
         clock: clock_lib.Clock,
         wanted: Callable[[], bool],
     ) -> None:
@@ -102,20 +109,37 @@
         self._wanted = wanted
         self._source: types.Address | None = None
         self._source_since_s = 0.0
+        self._replaced_s_by_source: dict[types.Address, float] = {}
+        self._received_s = float("-inf")
         # When the query that waits for an answer was sent; None if none does.
         self._queried_s: float | None = None
         self._assembly: _Assembly | None = None
         self._query_now = trio.Event()
 
+    @property
+    def receiving(self) -> bool:
+        """Whether parts of a newer version are arriving."""
+        return self._clock.monotonic() - self._received_s < RECEIVING_S
+
     async def run(self) -> None:
         """Asks while that is wanted, until cancelled."""
         while True:
+            pause_s = QUERY_INTERVAL_S
             if self._wanted():
                 self._ask()
-            with trio.move_on_after(QUERY_INTERVAL_S):
+                pause_s = self._time_to_timeout_s
+            with trio.move_on_after(pause_s):
                 await self._query_now.wait()
             self._query_now = trio.Event()
 
+    @property
+    def _time_to_timeout_s(self) -> float:
+        """Time until the latest query counts as unanswered."""
+        if self._queried_s is None:
+            return QUERY_INTERVAL_S
+        waited_s = self._clock.monotonic() - self._queried_s
+        return max(0.0, ANSWER_TIMEOUT_S - waited_s)
+
     def _ask(self) -> None:
         now_s = self._clock.monotonic()
         if self._queried_s is not None:
@@ -139,14 +163,19 @@
         )
 
     def _replace_source(self, reason: str) -> None:
-        """Passes to the next source in the order of preference."""
-        sources = self._sources()
-        following = sources
-        if self._source in sources:
-            following = sources[sources.index(self._source) + 1 :] or sources
-        replaced, self._source = self._source, next(iter(following), None)
+        """Passes to the first source that hasn't been replaced lately."""
+        now_s = self._clock.monotonic()
+        replaced = self._source
+        if replaced is not None:
+            self._replaced_s_by_source[replaced] = now_s
+        avoided = {
+            source
+            for source, replaced_s in self._replaced_s_by_source.items()
+            if now_s - replaced_s < AVOIDED_S
+        }
+        self._source = next(iter(self._sources(avoided)), None)
         self._queried_s = None
-        self._source_since_s = self._clock.monotonic()
+        self._source_since_s = now_s
         if self._source != replaced:
             logs.event(
                 "document source chosen",
@@ -168,20 +197,24 @@
         if sender == self._source and (part.data or self._assembly is None):
             self._queried_s = None
         if part.data:
+            self._received_s = self._clock.monotonic()
             self._add(sender, part)
         if part.newest <= self._document.revision:
             self._document.confirm(self._clock.monotonic() - part.age_s)
         if sender != self._source:
             return
-        if part.newest > self._document.revision:
+        if part.leaving:
+            self._replace_source("leaving")
+            self._query_now.set()
+        elif part.newest > self._document.revision:
             self._query_now.set()
-        elif part.age_s > MAX_SOURCE_AGE_S and self._source_has_started:
+        elif part.age_s > MAX_SOURCE_AGE_S and not self._source_may_start(part):
             self._replace_source("out of date")
 
-    @property
-    def _source_has_started(self) -> bool:
+    def _source_may_start(self, part: documents.DocumentPart) -> bool:
+        """Whether the source may not have read the document yet."""
         asked_for_s = self._clock.monotonic() - self._source_since_s
-        return asked_for_s > SOURCE_START_S
+        return part.reads_store and asked_for_s < SOURCE_START_S
 
     def _add(self, sender: types.Address, part: documents.DocumentPart) -> None:
         if part.revision <= self._document.revision:
--- a/pimentobridge/daemons/document_server.py
+++ b/pimentobridge/daemons/document_server.py
@@ -45,6 +45,8 @@
         document: this process's copy.
         endpoint: transport to the other processes.
         clock: source of time.
+        reads_store: whether this process reads the store while it is asked;
+            otherwise it passes on what it has.
     """
 
     def __init__(
@@ -53,10 +55,12 @@
         document: document_lib.Document,
         endpoint: transport.Outbox,
         clock: clock_lib.Clock,
+        reads_store: bool = False,
     ) -> None:
         self._document = document
         self._endpoint = endpoint
         self._clock = clock
+        self._reads_store = reads_store
         self._encodings: list[_Encoding] = []
         self._queried_s_by_address: dict[types.Address, float] = {}
 
@@ -72,6 +76,12 @@
             for address in self._subscribers():
                 self._endpoint.send(address, self._status())
 
+    def announce_shutdown(self) -> None:
+        """Tells those that asked lately to ask another process from now on."""
+        leaving = msgspec.structs.replace(self._status(), leaving=True)
+        for address in self._subscribers():
+            self._endpoint.send(address, leaving)
+
     def on_query(
         self, sender: types.Address, query: documents.DocumentQuery
     ) -> None:
@@ -122,6 +132,7 @@
             key=self._document.key,
             newest=self._document.revision,
             age_s=self._document.age_s,
+            reads_store=self._reads_store,
         )
 
     def _subscribers(self) -> list[types.Address]:
--- a/pimentobridge/daemons/document_source.py
+++ b/pimentobridge/daemons/document_source.py
@@ -15,6 +15,11 @@
     from pimentobridge.protocol import transport
 
 
+# The copies of those who ask are confirmed at this interval. It is short, so
+# that they can find another source before theirs counts as out of date.
+WATCH_WAIT_S = 0.75
+
+
 class DocumentSource:
     """Follows a document on demand and passes it on.
 
@@ -38,13 +43,17 @@
     ) -> None:
         document = document_lib.Document(key=key, clock=clock)
         self.server = document_server.DocumentServer(
-            document=document, endpoint=endpoint, clock=clock
+            document=document,
+            endpoint=endpoint,
+            clock=clock,
+            reads_store=True,
         )
         self._reader = document_lib.StoreReader(
             document=document,
             store=store,
-            clock=clock,
             wanted=lambda: self.server.in_use,
+            clock=clock,
+            watch_wait_s=WATCH_WAIT_S,
         )
 
     async def run(self) -> None:
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -118,10 +118,20 @@
             "may_act": float(self._may_act()),
             "orders_age_seconds": self._clock.monotonic() - self._answered_s,
             "running_tasks": len(self._running),
+            "supplies_configuration": float(self.supplies_configuration),
             "unrecorded_ends": len(self._ended),
             "log_lines_left_out_total": logs.dropped_lines(),
         }
 
+    @property
+    def supplies_configuration(self) -> bool:
+        """Whether entries get the configuration from this agent."""
+        return self._configuration_source.server.in_use
+
+    def announce_shutdown(self) -> None:
+        """Sends entries to another source of the configuration."""
+        self._configuration_source.server.announce_shutdown()
+
     # Heartbeats of the worker, and its deregistration.
 
     def on_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -69,6 +69,7 @@
         )
         logs.event("started", role="agent", settings=str(settings))
         await platform_process.wait_for_stop()
+        agent.announce_shutdown()
         with trio.move_on_after(http_server.CLOSE_TIMEOUT_S):
             await agent.extend_lease()
         logs.event("stopped")
--- a/pimentobridge/lab/large_configuration.py
+++ b/pimentobridge/lab/large_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import random
 
 import msgspec
@@ -17,6 +18,11 @@
 WARM_UP_S = 6.0
 # When each version of a series is written, and how many routes it adds.
 SERIES = ((0.0, 0), (0.3, 0), (0.6, 0), (0.9, 1400))
+# When the agents that pass the configuration on leave, from the start of a
+# series: while nothing changes, and while the large version is passed on.
+SOURCE_LOSSES_S = (-1.2, 0.5, 1.7)
+# Time before a series in which nothing changes.
+CALM_S = 2.0
 # Time after a series after which versions that aren't in force are given up.
 SETTLING_S = 10.0
 SAMPLING_INTERVAL_S = 0.02
@@ -39,44 +45,62 @@
     most_bytes: int
 
 
-def measure(series: int, *, seed: int = 1) -> list[SeriesResult]:
+class SourceLoss(enum.Enum):
+    """How the agents that pass the configuration on leave during a series."""
+
+    NONE = "none"
+    SIGTERM = "sigterm"
+    KILLED = "killed"
+
+
+def measure(
+    series: int, *, seed: int = 1, loss: SourceLoss = SourceLoss.NONE
+) -> list[SeriesResult]:
     """Writes series of versions, each with more routes, and measures them.
 
     Args:
         series: number of series.
         seed: seed of the network's delays.
+        loss: how the agents that pass the configuration on leave for good,
+            at the times in `SOURCE_LOSSES_S`.
     """
     results: list[SeriesResult] = harness.run_virtual(
-        _measure, series, seed, seed=seed
+        _measure, series, seed, loss, seed=seed
     )
     return results
 
 
-async def _measure(series: int, seed: int) -> list[SeriesResult]:
+async def _measure(
+    series: int, seed: int, loss: SourceLoss
+) -> list[SeriesResult]:
     results = []
     async with trio.open_nursery() as nursery:
         world = world_lib.World(
             rng=random.Random(seed),
             nursery=nursery,
             entries=ENTRIES,
-            workers=WORKERS,
+            workers=WORKERS + series * len(SOURCE_LOSSES_S),
             entry_link_bytes_per_s=LINK_BYTES_PER_S,
         )
         world.put_configuration()
         world.start()
         await trio.sleep(WARM_UP_S)
         for _ in range(series):
-            results.append(await _measure_series(world))
+            results.append(await _measure_series(world, loss))
         nursery.cancel_scope.cancel()
     return results
 
 
-async def _measure_series(world: world_lib.World) -> SeriesResult:
+async def _measure_series(
+    world: world_lib.World, loss: SourceLoss
+) -> SeriesResult:
     before = _received_bytes(world)
-    started_s = trio.current_time()
+    started_s = trio.current_time() + CALM_S
     times_s: list[float] = []
     size = 0
     async with trio.open_nursery() as watches:
+        if loss is not SourceLoss.NONE:
+            watches.start_soon(_remove_sources, world, loss, started_s)
         for at_s, routes in SERIES:
             await trio.sleep_until(started_s + at_s)
             size = world.put_configuration(more_routes=routes)
@@ -91,6 +115,19 @@
     )
 
 
+async def _remove_sources(
+    world: world_lib.World, loss: SourceLoss, started_s: float
+) -> None:
+    for at_s in SOURCE_LOSSES_S:
+        await trio.sleep_until(started_s + at_s)
+        for host in world.workers:
+            if host.agent is None or not host.agent.supplies_configuration:
+                continue
+            if loss is SourceLoss.SIGTERM:
+                host.agent.announce_shutdown()
+            host.remove()
+
+
 async def _time_until(
     host: world_lib.EntryHost, version: int, times_s: list[float]
 ) -> None:
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -137,6 +137,7 @@
         self.runner = self._new_runner()
         self.agent: worker_agent.WorkerAgent | None = None
         self._scope: trio.CancelScope | None = None
+        self._removed = False
 
     def _new_runner(self) -> platform_runner.PlatformRunner:
         world = self._world
@@ -155,14 +156,16 @@
         while True:
             await trio.sleep(RESTART_DELAY_S)
             crashed = self.runner
+            if self._removed:
+                return
             if not crashed.up and not crashed.draining:
                 await trio.sleep(RUNNER_RESTART_S)
                 if self.runner is crashed:
                     self.runner = self._new_runner()
 
     async def run(self) -> None:
-        """Runs the agent, and restarts it whenever it ends."""
-        while True:
+        """Runs the agent, and restarts it until the machine is removed."""
+        while not self._removed:
             with trio.CancelScope() as self._scope:
                 await self._run_agent()
             self.agent = None
@@ -227,6 +230,12 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    def remove(self) -> None:
+        """Removes the machine for good, with its agent and its runner."""
+        self._removed = True
+        self.runner.crash()
+        self.kill()
+
     async def drain_runner(self) -> None:
         """Drains the runner, deregisters it and replaces it by a new one."""
         drained = self.runner
--- a/pimentobridge/protocol/documents.py
+++ b/pimentobridge/protocol/documents.py
@@ -35,6 +35,8 @@
         digest: digest of the version's whole encoding.
         offset: where `data` starts in the encoding, in bytes.
         data: the part.
+        reads_store: whether the sender reads the store while it is asked.
+        leaving: whether the sender shuts down and won't answer any more.
     """
 
     key: str
@@ -45,3 +47,5 @@
     digest: bytes = b""
     offset: int = 0
     data: bytes = b""
+    reads_store: bool = False
+    leaving: bool = False
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from pimentobridge.lab import large_configuration
 
 # Time after the acknowledgement of a version in which every entry that is in
@@ -20,3 +22,21 @@
     for result in results:
         assert result.slowest_s <= IN_FORCE_WITHIN_S
         assert result.most_bytes <= MAX_BYTES_PER_SERIES
+
+
+# Guards against CONFIG (issue 23): once a source of the configuration was
+# lost, entries read it in full from the store, and the full link silenced the
+# sources that were left.
+@pytest.mark.parametrize(
+    "loss",
+    [
+        large_configuration.SourceLoss.SIGTERM,
+        large_configuration.SourceLoss.KILLED,
+    ],
+)
+def test_lost_sources_of_the_configuration_dont_fill_slow_links(
+    loss: large_configuration.SourceLoss,
+) -> None:
+    for result in large_configuration.measure(3, loss=loss):
+        assert result.slowest_s <= IN_FORCE_WITHIN_S
+        assert result.most_bytes <= result.document_bytes
