Judge a gang's remaining time by the members whose progress is known

Cause: the scheduler had changed at 18.1 s. Members on workers that hadn't reported to the new one yet counted with their whole estimate (22 s), and the slowest member decides.

Change: members whose progress isn't known count as those with known progress, since they started together; the same rule serves the holds. The test failed before.

--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -6,13 +6,13 @@
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from collections.abc import Mapping
 
     from pimentobridge.core.scheduling import fleet
-    from pimentobridge.core.scheduling import ledger
 
 
 def runs_to_move(
@@ -59,8 +59,7 @@
         return True
     if entry.step.long_running or leaves_in_s is None:
         return False
-    # A gang ends with its slowest member.
-    return max(member.remaining_s(now_s) for member in members) > leaves_in_s
+    return ledger.remaining_s(members, now_s) > leaves_in_s
 
 
 def _members(
--- a/pimentobridge/core/scheduling/holds.py
+++ b/pimentobridge/core/scheduling/holds.py
@@ -10,13 +10,13 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import placement
 
 if TYPE_CHECKING:
     from pimentobridge.core.jobs import model
     from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import fleet
-    from pimentobridge.core.scheduling import ledger
 
 
 class Hold(NamedTuple):
@@ -103,14 +103,16 @@
 
     Of runs that end at the same time, those on less used workers come first.
     """
-    # The members of a gang end together, with the slowest one.
-    remaining_s_by_unit: dict[int, float] = collections.defaultdict(float)
+    members_by_unit: dict[int, list[ledger.RunEntry]] = collections.defaultdict(
+        list
+    )
     for worker in workers:
         for entry in worker.entries_by_key.values():
-            unit = id(entry.unit)
-            remaining_s_by_unit[unit] = max(
-                remaining_s_by_unit[unit], entry.remaining_s(now_s)
-            )
+            members_by_unit[id(entry.unit)].append(entry)
+    remaining_s_by_unit = {
+        unit: ledger.remaining_s(members, now_s)
+        for unit, members in members_by_unit.items()
+    }
     timed = [
         (remaining_s_by_unit[id(entry.unit)], worker, entry)
         for worker in workers
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -10,6 +10,7 @@
 from pimentobridge.core.jobs import runs
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
 
     from pimentobridge.core import types
@@ -164,6 +165,20 @@
         )
 
 
+def remaining_s(members: Collection[RunEntry], now_s: float) -> float:
+    """Returns the expected time until a unit's run ends, in seconds.
+
+    A gang ends with its slowest member. Members whose progress isn't known, as
+    after a change of scheduler, count as those with known progress.
+
+    Args:
+        members: the members of the run, at least one.
+        now_s: current monotonic time.
+    """
+    known = [member for member in members if member.percent is not None]
+    return max(member.remaining_s(now_s) for member in known or members)
+
+
 def footprint_of(
     key: runs.RunKey, jobs_by_id: Mapping[types.JobId, TrackedJob]
 ) -> model.Resources:
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -514,6 +514,19 @@
     assert harness.observe(1, running=(slow,)).stops == (second,)
 
 
+# Guards against SHORT (issue 23): a new scheduler moved a gang that was about
+# to end, because it hadn't heard of the members on another worker yet.
+def test_a_gang_about_to_end_stays_though_a_member_is_not_reported() -> None:
+    harness = EngineHarness(2)
+    gang = model.Step(2, WORKER, 20.0, gang=True)
+    (_, first), _ = started(harness.submit(job("a" * 16, gang)))
+    harness.incarnations[0] = msgspec.structs.replace(
+        harness.incarnations[0], draining=True, leaves_in_s=5.0
+    )
+    reported = runs.RunningTask(first, "", 90)
+    assert not harness.observe(0, running=(reported,)).stops
+
+
 def test_a_terminated_worker_releases_its_runs_at_once() -> None:
     harness = EngineHarness(2)
     ((number, key),) = started(harness.submit(job()))
