--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -127,10 +127,15 @@
 def test_the_checker_detects_that_expiry_of_leases_is_not_awaited(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # Tasks on unreachable workers are restarted before their leases expire.
+    # Tasks on unreachable workers are restarted before their leases expire. A
+    # seed whose tasks on them end by themselves shows nothing.
     monkeypatch.setattr(engine, "LEASE_SLACK_S", -7.0)
     fault = faults.Fault("agents cut off", 9.0, 5.0, (0, 1, 2))
-    assert "TWICE" in _rules(simulation.run(11, [fault]).findings)
+    detected = [
+        "TWICE" in _rules(simulation.run(seed, [fault]).findings)
+        for seed in range(11, 15)
+    ]
+    assert sum(detected) >= 3
 
 
 def test_the_checker_detects_ends_acknowledged_before_being_recorded(
