Let another entry end the lease of a scheduler that the store turns away

It ends the term first, so there are never two. A store that is away for everybody answers no entry, and the scheduler stays.

--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -10,6 +10,7 @@
 
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import configuration_follower
+from pimentobridge.daemons import handover
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import leadership as leadership_lib
 from pimentobridge.daemons import logs
@@ -96,6 +97,9 @@
             peers=self._peers,
             clock=clock,
         )
+        self._handover = handover.Handover(
+            endpoint=endpoint, store=store, peers=self._relay_peers
+        )
         self.leadership = leadership_lib.Leadership(
             store=store,
             mirror=self.mirror,
@@ -103,6 +107,7 @@
             address=endpoint.address,
             nonce=nonce,
             clock=clock,
+            deputies=self._handover,
         )
         self._relay = write_relay.Relay(
             endpoint=endpoint, peers=self._relay_peers
@@ -371,6 +376,12 @@
                 nursery.start_soon(self._serve_relay, envelope.sender, message)
             elif isinstance(message, control.WriteRelayed):
                 self._relay.on_outcome(message)
+            elif isinstance(message, control.StoreProbe):
+                nursery.start_soon(self._handover.on_probe, envelope.sender)
+            elif isinstance(message, control.StoreProbed):
+                self._handover.on_probed(envelope.sender)
+            elif isinstance(message, control.LeaseRelease):
+                nursery.start_soon(self._store.revoke_lease, message.lease)
             elif isinstance(message, control.MirrorQuery):
                 self.sharing.on_query(envelope.sender, message)
             elif isinstance(message, control.MirrorCopy):
--- a/pimentobridge/daemons/leadership.py
+++ b/pimentobridge/daemons/leadership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 import result
@@ -21,6 +22,9 @@
 LEASE_S = 2.0
 RENEWALS_PER_LEASE = 5
 ELECTION_POLL_S = 0.1
+# A scheduler whose renewals have failed for this time hands over to another
+# entry, if one reaches the store. Each is answered at once or not at all then.
+HANDOVER_AFTER_S = 0.6
 # An entry that has resigned waits this long before it acquires a vacant key, so
 # that another entry can.
 RESIGNED_DELAY_S = 0.5
@@ -41,6 +45,16 @@
     nonce: str
 
 
+class Deputies(Protocol):
+    """Other entries, which may reach the store when this one doesn't."""
+
+    async def find(self) -> types.Address | None:
+        """Returns an entry that the store answers; None if none is found."""
+
+    def release(self, deputy: types.Address, lease: int) -> None:
+        """Has an entry end a lease of this entry's; it may not come to that."""
+
+
 class Leadership:
     """Acquires the leader's key and renews its lease.
 
@@ -55,6 +69,7 @@
         nonce: unique to this process.
         clock: source of time; its monotonic time must include time in which
             the machine was suspended.
+        deputies: the entries that may end the lease in this one's place.
     """
 
     def __init__(
@@ -66,6 +81,7 @@
         address: types.Address,
         nonce: str,
         clock: clock_lib.Clock,
+        deputies: Deputies,
     ) -> None:
         self._store = store
         self._mirror = mirror
@@ -73,7 +89,10 @@
         self._address = address
         self._value = msgspec.json.encode(Holder(address, nonce))
         self._clock = clock
+        self._deputies = deputies
+        self._seeks_deputy = False
         self._lease = 0
+        self._renewed_s = 0.0
         self._valid_until_s = 0.0
         self.token: int | None = None
         self._resigned = False
@@ -183,6 +202,7 @@
             await self._store.revoke_lease(lease)
             return
         self._lease = lease
+        self._renewed_s = self._clock.monotonic()
         self._valid_until_s = sent_s + lifetime_s
         self._vacant_since_s = None
         self.token = token
@@ -211,11 +231,31 @@
         if self.token is None or lease != self._lease:
             return
         if isinstance(renewed, result.Ok):
+            self._renewed_s = self._clock.monotonic()
             self._valid_until_s = max(self._valid_until_s, sent_s + LEASE_S)
         elif renewed.err_value is kv_store.StoreError.LEASE_ENDED:
             self._end_term("lease ended")
         else:
             self._log_failed_renewal(sent_s, renewed.err_value)
+            await self._hand_over_if_cut_off(lease)
+
+    async def _hand_over_if_cut_off(self, lease: int) -> None:
+        """Lets another entry take over before the lease has expired."""
+        if self._seeks_deputy or not self._is_cut_off:
+            return
+        self._seeks_deputy = True
+        deputy = await self._deputies.find()
+        self._seeks_deputy = False
+        if deputy is None or lease != self._lease or not self._is_cut_off:
+            return
+        # The term must be over before anybody else can begin one.
+        self._lease = 0
+        self._end_term("handed over")
+        self._deputies.release(deputy, lease)
+
+    @property
+    def _is_cut_off(self) -> bool:
+        return self._clock.monotonic() - self._renewed_s >= HANDOVER_AFTER_S
 
     def _log_failed_renewal(
         self, sent_s: float, error: kv_store.StoreError
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -99,6 +99,23 @@
     outcome: WriteOutcome
 
 
+class StoreProbe(messages.Message, frozen=True):
+    """Asks another entry to call the store, and to answer if that succeeds."""
+
+
+class StoreProbed(messages.Message, frozen=True):
+    """Answers a `StoreProbe`: the store has just answered the sender."""
+
+
+class LeaseRelease(messages.Message, frozen=True):
+    """Asks another entry to end a lease of the sender's in the store.
+
+    Sent by a scheduler whose calls the store refuses, after its term.
+    """
+
+    lease: int
+
+
 class MirrorQuery(messages.Message, frozen=True):
     """Asks another entry for items of the store that have changed.
 
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -11,6 +11,7 @@
 
 from pimentobridge.bench import harness
 from pimentobridge.daemons import job_api
+from pimentobridge.daemons import leadership
 from pimentobridge.lab import faulty_client
 from pimentobridge.lab import world as world_lib
 
@@ -366,6 +367,50 @@
     assert run_scenario(scenario, entries=3) == 200
 
 
+# Guards against SHORT (issue 23): jobs waited until the lease had expired of a
+# scheduler that the store turned away.
+@pytest.mark.parametrize(
+    "mode",
+    [faulty_client.OutageMode.BUSY, faulty_client.OutageMode.RESET],
+)
+def test_a_scheduler_that_the_store_turns_away_hands_over(
+    mode: faulty_client.OutageMode,
+) -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        leader = _leader_of(world)
+        node = world.entries[leader].node
+        world.store_faults.outage_by_node[node] = mode
+        await trio.sleep(leadership.HANDOVER_AFTER_S + 0.7)
+        return leader, _leader_of(world)
+
+    before, after = run_scenario(scenario)
+    assert after not in (None, before)
+
+
+def test_a_scheduler_stays_while_the_store_turns_everybody_away() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        leader = _leader_of(world)
+        world.store_faults.outage = faulty_client.OutageMode.BUSY
+        await trio.sleep(1.5)
+        after = _leader_of(world)
+        world.store_faults.outage = None
+        return leader, after
+
+    before, after = run_scenario(scenario)
+    assert after == before
+
+
+def _leader_of(world: world_lib.World) -> int | None:
+    return next(
+        (
+            number
+            for number, host in enumerate(world.entries)
+            if host.entry is not None and host.entry.leadership.is_leader
+        ),
+        None,
+    )
+
+
 # Guards against callers that are held until their own timeout while several
 # entries are asked in turn: seen on lunetta-try with issue 20.
 def test_a_write_asks_silent_entries_at_the_same_time() -> None:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -47,6 +47,16 @@
         return http_client.Failure.NO_ANSWER
 
 
+class NoDeputies:
+    """The absence of other entries."""
+
+    async def find(self) -> types.Address | None:
+        return None
+
+    def release(self, deputy: types.Address, lease: int) -> None:
+        raise AssertionError
+
+
 async def _share_of_time_as_leader(answer_s: float) -> float:
     store = platform_store.PlatformStore(trio.current_time)
     client = SlowClient(store)
@@ -62,6 +72,7 @@
         address=types.Address("tcp://entry-0:7000"),
         nonce="entry-0-1",
         clock=clock,
+        deputies=NoDeputies(),
     )
     samples = []
     async with trio.open_nursery() as nursery:
