--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 import result
 import trio
 
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import configuration_follower
 from pimentobridge.daemons import handover
+from pimentobridge.daemons import job_writer
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import leadership as leadership_lib
 from pimentobridge.daemons import logs
@@ -32,10 +32,7 @@
     from pimentobridge.platform import boot_settings
     from pimentobridge.protocol import transport
 
-WRITE_RETRY_PAUSE_S = 0.05
-# Limit of remembered jobs whose writes may still take effect; the oldest are
-# forgotten first.
-MAX_UNCERTAIN_WRITES = 10_000
+READ_RETRY_PAUSE_S = 0.05
 ANNOUNCE_INTERVAL_S = 1.0
 
 
@@ -76,7 +73,6 @@
         self._created_s = clock.monotonic()
         self.scheduler: scheduling.Scheduler | None = None
         self.draining = False
-        self._uncertain_writes: dict[types.JobId, None] = {}
         self.mirror = store_mirror.StoreMirror(
             store=store,
             prefix=keys.PREFIX,
@@ -112,6 +108,9 @@
         self._relay = write_relay.Relay(
             endpoint=endpoint, peers=self._relay_peers
         )
+        self._writer = job_writer.JobWriter(
+            store=store, mirror=self.mirror, relay=self._relay, clock=clock
+        )
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -213,7 +212,7 @@
             job: the job to store.
             deadline_s: monotonic time by which the caller needs an answer.
         """
-        return await self._write(
+        return await self._writer.write(
             job.id, progress_lib.encode_job(job), deadline_s
         )
 
@@ -221,96 +220,7 @@
         self, job_id: types.JobId, deadline_s: float
     ) -> control.WriteOutcome:
         """Marks a job as cancelled in the store."""
-        return await self._write(job_id, None, deadline_s)
-
-    async def _write(
-        self, job_id: types.JobId, value: bytes | None, deadline_s: float
-    ) -> control.WriteOutcome:
-        """Tries directly and through another entry until the outcome is known.
-
-        If this entry can't reach the store and the other entry couldn't write
-        either, it returns at once: the caller can then retry before its own
-        timeout.
-        """
-        # A write of an earlier request may still take effect, so that "not
-        # written" would be wrong.
-        maybe_written = job_id in self._uncertain_writes
-        while self._clock.monotonic() < deadline_s:
-            for write in (self._write_directly, self._relay.write):
-                # What is cut off by the caller's deadline may be written.
-                outcome = control.WriteOutcome.UNKNOWN
-                time_left_s = max(0.0, deadline_s - self._clock.monotonic())
-                with trio.move_on_after(time_left_s):
-                    outcome = await write(job_id, value)
-                if outcome in (
-                    control.WriteOutcome.WRITTEN,
-                    control.WriteOutcome.ABSENT,
-                ):
-                    self._uncertain_writes.pop(job_id, None)
-                    return outcome
-                if outcome is control.WriteOutcome.UNKNOWN:
-                    maybe_written = True
-            if self._store.unavailable:
-                break
-            await trio.sleep(WRITE_RETRY_PAUSE_S)
-        if maybe_written:
-            self._remember_uncertain_write(job_id)
-            return control.WriteOutcome.UNKNOWN
-        return control.WriteOutcome.NOT_WRITTEN
-
-    def _remember_uncertain_write(self, job_id: types.JobId) -> None:
-        self._uncertain_writes[job_id] = None
-        if len(self._uncertain_writes) > MAX_UNCERTAIN_WRITES:
-            self._uncertain_writes.pop(next(iter(self._uncertain_writes)))
-
-    async def _write_directly(
-        self, job_id: types.JobId, value: bytes | None
-    ) -> control.WriteOutcome:
-        if value is not None and keys.job(job_id) in self.mirror.items_by_key:
-            return control.WriteOutcome.WRITTEN
-        if self._store.unavailable:
-            return control.WriteOutcome.NOT_WRITTEN
-        if value is None:
-            return await self._cancel_directly(job_id)
-        return await self._put_submission(job_id, value, kv_store.ABSENT)
-
-    async def _put_submission(
-        self, job_id: types.JobId, value: bytes, revision: int
-    ) -> control.WriteOutcome:
-        """Writes a submission if the stored one is at `revision`.
-
-        A conflict counts as written: somebody else has made the same change.
-        """
-        key = keys.job(job_id)
-        written = await self._store.transact(
-            expected={key: revision}, puts=[kv_store.Put(key, value)]
-        )
-        if isinstance(written, result.Ok):
-            if isinstance(written.ok_value, int):
-                self.mirror.offer(kv_store.Item(key, value, written.ok_value))
-            return control.WriteOutcome.WRITTEN
-        if written.err_value is kv_store.StoreError.REFUSED:
-            return control.WriteOutcome.NOT_WRITTEN
-        return control.WriteOutcome.UNKNOWN
-
-    async def _cancel_directly(
-        self, job_id: types.JobId
-    ) -> control.WriteOutcome:
-        response = await self._store.get(keys.job(job_id))
-        if isinstance(response, result.Err):
-            return control.WriteOutcome.NOT_WRITTEN
-        item = response.ok_value
-        if item is None or item.value is None:
-            return control.WriteOutcome.ABSENT
-        job = progress_lib.decode_job(item.value)
-        if job.cancelled:
-            return control.WriteOutcome.WRITTEN
-        cancelled = msgspec.structs.replace(job, cancelled=True)
-        # Cancellation is the only change of a submission, so that a conflict
-        # means that somebody else has just cancelled it.
-        return await self._put_submission(
-            job_id, progress_lib.encode_job(cancelled), item.revision
-        )
+        return await self._writer.write(job_id, None, deadline_s)
 
     async def state_of(
         self, job_id: types.JobId, deadline_s: float
@@ -331,7 +241,7 @@
                 break
             if self._clock.monotonic() > deadline_s:
                 return control.WriteOutcome.UNKNOWN
-            await trio.sleep(WRITE_RETRY_PAUSE_S)
+            await trio.sleep(READ_RETRY_PAUSE_S)
             # Another entry may have supplied it meanwhile.
             item = self.mirror.items_by_key.get(key)
         if item.value is None:
@@ -410,7 +320,7 @@
     async def _serve_relay(
         self, sender: types.Address, message: control.WriteRelay
     ) -> None:
-        outcome = await self._write_directly(message.job, message.value)
+        outcome = await self._writer.write_directly(message.job, message.value)
         self._endpoint.send(
             sender, control.WriteRelayed(message.sequence, outcome)
         )
