Ask sources of the configuration that were lost last of all

A lost source was asked again after 30 s, and agents that were removed stayed listed in the store for ever, so that after enough removals entries would spend 0.5 s on each.

Now a source that was replaced comes after all others, and an agent that is told to stop deletes its address, which it writes again when it starts.

--- a/pimentobridge/cli/lab.py
+++ b/pimentobridge/cli/lab.py
@@ -75,6 +75,12 @@
     )
     configuration.add_argument("--series", type=int, default=3)
     configuration.add_argument("--seed", type=int, default=1)
+    configuration.add_argument(
+        "--sources",
+        choices=[loss.value for loss in large_configuration.SourceLoss],
+        default=large_configuration.SourceLoss.NONE.value,
+        help="how the agents that pass the configuration on leave meanwhile",
+    )
     configuration.set_defaults(run=_configuration)
     kinds = actions.add_parser("kinds", help="list the kinds of faults")
     kinds.set_defaults(run=_kinds)
@@ -149,7 +155,11 @@
 
 
 def _configuration(options: argparse.Namespace) -> int:
-    results = large_configuration.measure(options.series, seed=options.seed)
+    results = large_configuration.measure(
+        options.series,
+        seed=options.seed,
+        loss=large_configuration.SourceLoss(options.sources),
+    )
     for result in results:
         print(
             f"{result.routes} routes, {result.document_bytes} bytes:"
--- a/pimentobridge/daemons/configuration_follower.py
+++ b/pimentobridge/daemons/configuration_follower.py
@@ -16,7 +16,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
     from collections.abc import Mapping
 
     from pimentobridge.core import clock as clock_lib
@@ -100,16 +99,11 @@
         # On a slow link a read from the store would hold up the parts.
         return self._out_of_date and not self.client.receiving
 
-    def _sources(
-        self, avoided: Collection[types.Address]
-    ) -> list[types.Address]:
+    def _sources(self) -> list[types.Address]:
         """Returns the processes to ask, in the order of preference.
 
         Every third one is an agent of another region, as all of this region may
         lack the store. Entries, which pass on what others gave them, come last.
-
-        Args:
-            avoided: those that are returned only in the absence of others.
         """
         near: list[types.Address] = []
         far: list[types.Address] = []
@@ -120,10 +114,7 @@
                 (near if is_near else far).append(keys.address_of(key))
             elif key.startswith(keys.ENTRIES):
                 entries.append(keys.address_of(key))
-        everyone = self._in_turns(near, far, entries)
-        return [
-            source for source in everyone if source not in avoided
-        ] or everyone
+        return self._in_turns(near, far, entries)
 
     def _in_turns(
         self,
--- a/pimentobridge/daemons/document_client.py
+++ b/pimentobridge/daemons/document_client.py
@@ -14,7 +14,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
@@ -25,9 +24,6 @@
 # A source that hasn't answered a query for this time is replaced. A part takes
 # a fifth of it on an idle link of 5 Mbit/s; one that comes later is taken, too.
 ANSWER_TIMEOUT_S = 0.5
-# A source that was replaced is asked again only after this time, unless there
-# is no other.
-AVOIDED_S = 30.0
 # The parts count as arriving until this time after the latest one.
 RECEIVING_S = 0.5
 # A source that hasn't heard from the store for this time is replaced.
@@ -87,8 +83,7 @@
     Args:
         document: the copy to keep up to date.
         endpoint: transport to the other processes.
-        sources: returns the processes to ask, in the order of preference, given
-            those to avoid.
+        sources: returns the processes to ask, in the order of preference.
         clock: source of time.
         wanted: returns whether to follow at the moment.
     """
@@ -98,7 +93,7 @@
         *,
         document: document_lib.Document,
         endpoint: transport.Outbox,
-        sources: Callable[[Collection[types.Address]], list[types.Address]],
+        sources: Callable[[], list[types.Address]],
         clock: clock_lib.Clock,
         wanted: Callable[[], bool],
     ) -> None:
@@ -163,17 +158,20 @@
         )
 
     def _replace_source(self, reason: str) -> None:
-        """Passes to the first source that hasn't been replaced lately."""
+        """Passes to the first source that was never replaced, if any.
+
+        Sources that are gone may be listed for ever. Of those that were
+        replaced, the one that was so least recently comes first.
+        """
         now_s = self._clock.monotonic()
         replaced = self._source
         if replaced is not None:
             self._replaced_s_by_source[replaced] = now_s
-        avoided = {
-            source
-            for source, replaced_s in self._replaced_s_by_source.items()
-            if now_s - replaced_s < AVOIDED_S
-        }
-        self._source = next(iter(self._sources(avoided)), None)
+        self._source = min(
+            self._sources(),
+            key=lambda source: self._replaced_s_by_source.get(source, 0.0),
+            default=None,
+        )
         self._queried_s = None
         self._source_since_s = now_s
         if self._source != replaced:
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -72,6 +72,7 @@
         agent.announce_shutdown()
         with trio.move_on_after(http_server.CLOSE_TIMEOUT_S):
             await agent.extend_lease()
+            await _withdraw(store, address)
         logs.event("stopped")
         nursery.cancel_scope.cancel()
     return 0
@@ -92,3 +93,8 @@
         if written.is_ok():
             return
         await trio.sleep(ANNOUNCE_RETRY_DELAY_S)
+
+
+async def _withdraw(store: kv_store.KvStore, address: types.Address) -> None:
+    """Deletes this agent's address, so that entries don't ask it in vain."""
+    await store.transact(expected={}, puts=[], deletes=[keys.agent(address)])
--- a/pimentobridge/lab/large_configuration.py
+++ b/pimentobridge/lab/large_configuration.py
@@ -48,7 +48,7 @@
 class SourceLoss(enum.Enum):
     """How the agents that pass the configuration on leave during a series."""
 
-    NONE = "none"
+    NONE = "stay"
     SIGTERM = "sigterm"
     KILLED = "killed"
 
