Write records beside each other while the store is slow

Cause, as far as it is known: a start waits for the record of its placement, and the writes of records followed each other. A change that came while a write was under way waited for two answers, behind the changes of batch jobs.

Change: while the latest write takes longer than 0.15 s, a further one is begun with other jobs, up to four; the most urgent jobs are written first. Writes of 0.4 s and more are logged.

--- a/pimentobridge/daemons/recorder.py
+++ b/pimentobridge/daemons/recorder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import result
 import trio
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentobridge.core import types
     from pimentobridge.core.scheduling import engine as engine_lib
     from pimentobridge.core.scheduling import ledger
 
@@ -23,11 +25,32 @@
 MAX_JOBS_PER_WRITE = (kv_store.MAX_TRANSACTION_ENTRIES - 1) // 2
 MAX_WRITE_BYTES = 512 * 1024
 RETRY_PAUSE_S = 0.08
+# A further write is begun while the latest one takes longer than this.
+PATIENCE_S = 0.15
+MAX_WRITES = 4
+# Writes that take this time or longer are logged.
+SLOW_WRITE_S = 0.4
+
+
+class Change(NamedTuple):
+    """A job's progress that is being written.
+
+    Attributes:
+        number: number of the latest change that the value contains.
+        value: the encoded progress.
+    """
+
+    tracked: ledger.TrackedJob
+    number: int
+    value: bytes
 
 
 class Recorder:
     """Writes each change of the engine's jobs to the store.
 
+    Changes that come while a write is under way are gathered for the next one,
+    which waits for its answer unless that takes long.
+
     Every transaction requires that the leader's key is unchanged since the term
     began, so that a scheduler that has lost the key can't write.
 
@@ -55,7 +78,10 @@
         self._on_recorded = on_recorded
         self._on_key_lost = on_key_lost
         self._wake = trio.Event()
-        self.idle = True
+        # Jobs whose write isn't answered yet, and when the latest was sent.
+        self._in_flight: set[types.JobId] = set()
+        self._writes = 0
+        self._sent_s = float("-inf")
 
     def wake(self) -> None:
         """Makes the recorder check for changes."""
@@ -63,35 +89,65 @@
 
     async def run(self) -> None:
         """Writes changes until cancelled."""
-        while True:
-            if not self._engine.dirty_by_id:
-                self.idle = True
-                await self._wake.wait()
+        async with trio.open_nursery() as nursery:
+            while True:
+                batch = self._next_batch() if self._may_write else []
+                if batch:
+                    self._in_flight |= {tracked.id for tracked, _, _ in batch}
+                    self._writes += 1
+                    self._sent_s = trio.current_time()
+                    nursery.start_soon(self._write, batch)
+                    continue
+                # A write that takes long raises no event.
+                with trio.move_on_after(
+                    PATIENCE_S if self._writes else float("inf")
+                ):
+                    await self._wake.wait()
                 self._wake = trio.Event()
-                continue
-            self.idle = False
-            if not await self._write_batch():
-                await trio.sleep(RETRY_PAUSE_S)
 
-    async def _write_batch(self) -> bool:
-        """Writes a batch of changed jobs.
-
-        Returns:
-            False if the caller should pause before the next attempt.
-        """
-        batch: list[tuple[ledger.TrackedJob, int, bytes]] = []
+    @property
+    def _may_write(self) -> bool:
+        """Whether to write now or let changes gather until an answer comes."""
+        if not self._writes:
+            return True
+        is_late = trio.current_time() - self._sent_s >= PATIENCE_S
+        return is_late and self._writes < MAX_WRITES
+
+    def _next_batch(self) -> list[Change]:
+        """Returns the most urgent changes that aren't being written."""
+        waiting = [
+            tracked
+            for tracked in self._engine.dirty_by_id.values()
+            if tracked.id not in self._in_flight
+        ]
+        waiting.sort(key=lambda tracked: tracked.job.queue.priority)
+        batch: list[Change] = []
         batch_bytes = 0
-        for tracked in self._engine.dirty_by_id.values():
+        for tracked in waiting[:MAX_JOBS_PER_WRITE]:
             value = progress_lib.encode_progress(tracked.progress)
             batch_bytes += len(value)
             if batch and batch_bytes > MAX_WRITE_BYTES:
                 break
-            batch.append((tracked, tracked.changes, value))
-            if len(batch) == MAX_JOBS_PER_WRITE:
-                break
+            batch.append(Change(tracked, tracked.changes, value))
+        return batch
+
+    async def _write(self, batch: list[Change]) -> None:
+        if not await self._write_batch(batch):
+            await trio.sleep(RETRY_PAUSE_S)
+        self._in_flight -= {tracked.id for tracked, _, _ in batch}
+        self._writes -= 1
+        self._wake.set()
+
+    async def _write_batch(self, batch: list[Change]) -> bool:
+        """Writes a batch of changed jobs.
+
+        Returns:
+            False if the caller should pause before the next attempt.
+        """
         expected = {keys.LEADER: self._token}
         for tracked, _, _ in batch:
             expected[keys.progress(tracked.id)] = tracked.revision
+        sent_s = trio.current_time()
         written = await self._store.transact(
             expected=expected,
             puts=[
@@ -99,6 +155,15 @@
                 for tracked, _, value in batch
             ],
         )
+        took_s = trio.current_time() - sent_s
+        if took_s >= SLOW_WRITE_S:
+            logs.event(
+                "progress written slowly",
+                took_s=round(took_s, 3),
+                jobs=len(batch),
+                bytes=sum(len(value) for _, _, value in batch),
+                writes=self._writes,
+            )
         if isinstance(written, result.Err):
             logs.event(
                 "progress not recorded",
@@ -115,9 +180,7 @@
         return True
 
     def _resolve_conflict(
-        self,
-        batch: list[tuple[ledger.TrackedJob, int, bytes]],
-        conflict: kv_store.Conflict,
+        self, batch: list[Change], conflict: kv_store.Conflict
     ) -> bool:
         """Finds out whether an earlier write without an answer took effect.
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,43 +10,15 @@
 from pimentobridge.daemons import leadership as leadership_lib
 from pimentobridge.daemons import store_mirror
 from pimentobridge.daemons import trio_clock
-from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
 from pimentobridge.testing import platform_store
+from pimentobridge.testing import slow_client
 
 ANSWER_S = 0.9
 OBSERVED_S = 12.0
 SAMPLING_INTERVAL_S = 0.05
 
 
-class SlowClient:
-    """Client of a store that acts at once and answers late.
-
-    Attributes:
-        answer_s: time until each answer, in seconds.
-    """
-
-    def __init__(self, store: platform_store.PlatformStore) -> None:
-        self._store = store
-        self.answer_s = 0.01
-
-    async def call(
-        self,
-        method: str,
-        path: str,
-        *,
-        timeout_s: float,
-        body: object | None = None,
-        headers: dict[str, str] | None = None,
-    ) -> http_client.Answer | http_client.Failure:
-        del headers
-        with trio.move_on_after(timeout_s):
-            answer = await self._store.handle(method, path, body)
-            await trio.sleep(self.answer_s)
-            return answer
-        return http_client.Failure.NO_ANSWER
-
-
 class NoDeputies:
     """The absence of other entries."""
 
@@ -59,7 +31,7 @@
 
 async def _share_of_time_as_leader(answer_s: float) -> float:
     store = platform_store.PlatformStore(trio.current_time)
-    client = SlowClient(store)
+    client = slow_client.SlowClient(store)
     kv = kv_store.KvStore(client)
     clock = trio_clock.TrioClock(trio_clock.FIXED_ORIGIN)
     mirror = store_mirror.StoreMirror(
