--- a/pimentobridge/cli/explain.py
+++ b/pimentobridge/cli/explain.py
@@ -24,6 +24,10 @@
 _CONTEXT_EVENTS = (
     "scheduling",
     "no longer scheduling",
+    "lease not renewed",
+    "progress not recorded",
+    "progress written slowly",
+    "link busy",
     "store lost",
     "store regained",
     "configuration in force",
