Leave the scheduler's process time between its passes

Cause: a job that couldn't preempt the others asked for the next pass, as the limit on what it may discard rises with its waiting time, and each of 120 reports a second then began one. The limit rises twice at most.

Change: a pass is requested for the time at which the limit rises, and not after the last rise. A step of the scheduler is followed by a pause of the same length.

test_a_guaranteed_job_preempts_others asserted that a pass is due at once; it now asserts that one is due at each rise, and none before.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -76,6 +76,7 @@
         self.incarnation_by_agent: dict[types.Address, runs.IncarnationKey] = {}
         self.dirty_by_id: dict[types.JobId, ledger.TrackedJob] = {}
         self.configuration: configuration.JobConfiguration | None = None
+        self._pass_due_s = float("inf")
         self.needs_pass = True
         self.advice = advice_lib.AdviceCache()
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
@@ -496,6 +497,16 @@
                 if worker.agent is not None:
                     self.incarnation_by_agent.pop(worker.agent, None)
 
+    def request_pass_at(self, time_s: float) -> None:
+        """Requests a scheduling pass at a monotonic time, if not before."""
+        self._pass_due_s = min(self._pass_due_s, time_s)
+
+    def request_due_pass(self) -> None:
+        """Requests the pass that is due by now, if any."""
+        if self._clock.monotonic() >= self._pass_due_s:
+            self._pass_due_s = float("inf")
+            self.needs_pass = True
+
     def detect_placeable_changes(self) -> None:
         """Requests a scheduling pass if the set of placeable workers changed.
 
--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -78,17 +78,18 @@
                 return False
             victims, assigned = chosen
             lost_work = sum(victim.lost_work(now_s) for victim in victims)
-            limit = reclaim.loss_limit(
-                guaranteed=guaranteed,
-                waited_s=now_s - tracked.first_seen_s,
-            )
+            waited_s = now_s - tracked.first_seen_s
+            limit = reclaim.loss_limit(guaranteed=guaranteed, waited_s=waited_s)
             if lost_work <= limit:
                 for victim in victims:
                     self._stop_victim(victim, tracked, lost_work)
             else:
-                # The limit rises with the waiting time, so a pass is due even
-                # without another change.
-                self._engine.needs_pass = True
+                # A pass is due then even without another change.
+                rise_s = reclaim.next_rise_s(
+                    guaranteed=guaranteed, waited_s=waited_s
+                )
+                if rise_s is not None:
+                    self._engine.request_pass_at(now_s + rise_s)
                 if not guaranteed:
                     return False
         # Reserves the resources being freed, so that jobs of lower rank don't
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -85,6 +85,20 @@
     return LARGE_LOSS
 
 
+def next_rise_s(*, guaranteed: bool, waited_s: float) -> float | None:
+    """Returns when `loss_limit` rises next, in seconds from now; None if never.
+
+    Args:
+        guaranteed: whether its account's guarantee covers the job.
+        waited_s: how long the job has waited for free resources, in seconds.
+    """
+    if waited_s < WAIT_FOR_LARGE_LOSS_S:
+        return WAIT_FOR_LARGE_LOSS_S - waited_s
+    if guaranteed and waited_s < WAIT_FOR_ANY_LOSS_S:
+        return WAIT_FOR_ANY_LOSS_S - waited_s
+    return None
+
+
 def possible_victims(
     workers: Iterable[fleet.TrackedWorker],
     entitled: set[types.JobId],
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -145,8 +145,11 @@
             nursery.start_soon(self._retention.run)
             nursery.start_soon(self._adviser.run)
             while True:
+                started_s = trio.current_time()
                 if self._leadership.is_leader:
                     self._run_step()
+                # At least half of the time is left for messages and calls.
+                await trio.sleep(trio.current_time() - started_s)
                 with trio.move_on_after(STEP_INTERVAL_S):
                     await self._wake.wait()
                 self._wake = trio.Event()
@@ -281,6 +284,7 @@
             engine, early_s=self._settings.early_s, clock=self._clock
         )
         engine.detect_placeable_changes()
+        engine.request_due_pass()
         engine.record_checkpoints()
         self._stalls.run()
         if engine.needs_pass:
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -549,10 +549,16 @@
     )
     harness.plan()
     assert harness.observe(0, running=running(*keys)).stops == ()
-    assert harness.engine.needs_pass
-    harness.clock.advance(reclaim.WAIT_FOR_ANY_LOSS_S)
-    harness.observe(0, running=running(*keys))
-    harness.plan()
+    assert not harness.engine.needs_pass
+    for waited_s in (
+        reclaim.WAIT_FOR_LARGE_LOSS_S,
+        reclaim.WAIT_FOR_ANY_LOSS_S - reclaim.WAIT_FOR_LARGE_LOSS_S,
+    ):
+        harness.clock.advance(waited_s)
+        harness.engine.request_due_pass()
+        assert harness.engine.needs_pass
+        harness.observe(0, running=running(*keys))
+        harness.plan()
     harness.record()
     assert set(harness.observe(0, running=running(*keys)).stops) == set(keys)
     ends = tuple(
@@ -566,6 +572,27 @@
     assert [start.key.task[:16] for start in instructions.starts] == ["c" * 16]
 
 
+# Guards against SHORT (issue 23): passes followed each other without a pause,
+# as each job that couldn't preempt the others asked for the next one.
+def test_a_job_that_can_never_preempt_requests_no_pass() -> None:
+    harness = EngineHarness(1)
+    batch = job("b" * 16, model.Step(8, GPU, 300.0), account="no-guarantee")
+    keys = [key for _, key in started(harness.submit(batch))]
+    harness.observe(0, running=running(*keys))
+    harness.clock.advance(100.0)
+    harness.observe(0, running=running(*keys))
+    harness.submit(
+        job("c" * 16, model.Step(1, WORKER), priority=0, account="no-guarantee")
+    )
+    harness.clock.advance(reclaim.WAIT_FOR_ANY_LOSS_S)
+    harness.observe(0, running=running(*keys))
+    harness.engine.request_due_pass()
+    harness.plan()
+    harness.clock.advance(10.0)
+    harness.engine.request_due_pass()
+    assert not harness.engine.needs_pass
+
+
 def _count_preempted_runs(batch: model.Job, ran_s: float) -> int:
     """Returns how many of a batch job's runs an urgent job preempts.
 
