Leave guaranteed jobs more of their time for stops, records and starts

Cause: since passes are requested for a time, that time was only looked at every 0.1 s, and each step is followed by a pause of its own length. What is left of the 2.9 s had no room for that.

Change: the scheduler wakes when a requested pass is due, and a guaranteed job may discard any work after 1.4 s instead of 1.7 s.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -501,6 +501,11 @@
         """Requests a scheduling pass at a monotonic time, if not before."""
         self._pass_due_s = min(self._pass_due_s, time_s)
 
+    @property
+    def time_to_due_pass_s(self) -> float:
+        """Time until the requested pass is due; infinity if none is."""
+        return max(0.0, self._pass_due_s - self._clock.monotonic())
+
     def request_due_pass(self) -> None:
         """Requests the pass that is due by now, if any."""
         if self._clock.monotonic() >= self._pass_due_s:
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -28,7 +28,7 @@
 # A job within its account's guarantee may discard any amount of work after
 # waiting this long. The rest of the time that the platform allows is enough for
 # the stops, their records and the starts.
-WAIT_FOR_ANY_LOSS_S = 1.7
+WAIT_FOR_ANY_LOSS_S = 1.4
 # Weight of an accelerator in the discarded work, in cores.
 CORES_PER_ACCELERATOR = 8
 
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -150,7 +150,9 @@
                     self._run_step()
                 # At least half of the time is left for messages and calls.
                 await trio.sleep(trio.current_time() - started_s)
-                with trio.move_on_after(STEP_INTERVAL_S):
+                with trio.move_on_after(
+                    min(STEP_INTERVAL_S, self.engine.time_to_due_pass_s)
+                ):
                     await self._wake.wait()
                 self._wake = trio.Event()
 
