--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -29,6 +29,9 @@
     from pimentobridge.core.scheduling import engine as engine_lib
 
 
+# Waiting units are tried again after this time even without an event, as
+# expected ends and what is held change with time.
+RETRY_INTERVAL_S = 0.5
 # Limit on the jobs named in a log line.
 MAX_LOGGED_JOBS = 8
 
@@ -94,6 +97,8 @@
                     # The step's other tasks have the same requirements, so
                     # they don't fit either.
                     break
+        if self._waiting:
+            engine.request_pass_at(now_s + RETRY_INTERVAL_S)
 
     def _hold(
         self,
