--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -146,13 +146,13 @@
             nursery.start_soon(self._adviser.run)
             while True:
                 started_s = trio.current_time()
+                wait_s = STEP_INTERVAL_S
                 if self._leadership.is_leader:
                     self._run_step()
+                    wait_s = min(wait_s, self.engine.time_to_due_pass_s)
                 # At least half of the time is left for messages and calls.
                 await trio.sleep(trio.current_time() - started_s)
-                with trio.move_on_after(
-                    min(STEP_INTERVAL_S, self.engine.time_to_due_pass_s)
-                ):
+                with trio.move_on_after(wait_s):
                     await self._wake.wait()
                 self._wake = trio.Event()
 
