--- /dev/null
+++ b/pimentobridge/core/jobs/observed_progress.py
@@ -0,0 +1,59 @@
+"""Progress of a run as its worker reports it, and the time that is left."""
+
+from __future__ import annotations
+
+import dataclasses
+
+# Progress from which a run's rate is known.
+MIN_SEEN_PERCENT = 5
+
+
+@dataclasses.dataclass
+class ObservedProgress:
+    """What the reports on one run have said so far.
+
+    Attributes:
+        percent: progress that the worker last reported; None before that.
+        started_s: monotonic time at which it was first reported as running.
+        progressed_s: monotonic time at which its progress last increased.
+        first_percent: progress when it was first reported; above 0 for a run
+            that had started before the observer did.
+    """
+
+    percent: int | None = None
+    started_s: float | None = None
+    progressed_s: float = 0.0
+    first_percent: int = 0
+
+    def update(self, percent: int, now_s: float) -> None:
+        """Updates the progress from a report."""
+        if self.started_s is None:
+            self.started_s = now_s
+            self.first_percent = percent
+        if self.percent is None or percent > self.percent:
+            self.progressed_s = now_s
+        self.percent = percent
+
+    @property
+    def worked_s(self) -> float:
+        """Time from the first report to the latest progress, in seconds.
+
+        Reports that repeat what is known, as while the worker is down, don't
+        count.
+        """
+        if self.started_s is None:
+            return 0.0
+        return self.progressed_s - self.started_s
+
+    def remaining_s(self, now_s: float) -> float | None:
+        """Returns the expected remaining time by the rate so far, in seconds.
+
+        None if too little progress was seen to know the rate.
+        """
+        if self.percent is None or self.started_s is None:
+            return None
+        seen_percent = self.percent - self.first_percent
+        if seen_percent < MIN_SEEN_PERCENT:
+            return None
+        seen_s = now_s - self.started_s
+        return seen_s * (100 - self.percent) / seen_percent
--- a/pimentobridge/core/scheduling/crashes.py
+++ b/pimentobridge/core/scheduling/crashes.py
@@ -44,7 +44,7 @@
     ]
     started = [entry for entry in possible if entry.key in crash.started]
     just_started = [
-        entry for entry in started if entry.worked_s < JUST_STARTED_S
+        entry for entry in started if entry.observed.worked_s < JUST_STARTED_S
     ]
     unanswered = [entry for entry in possible if entry.key in crash.unanswered]
     return just_started or unanswered or started
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -311,7 +311,7 @@
                 worker=worker.key.worker,
                 crashes=len(machines),
                 machines=len(set(machines)),
-                worked_s=round(entry.worked_s, 2),
+                worked_s=round(entry.observed.worked_s, 2),
             )
             self.mark_changed(entry.tracked)
             if crashes.is_hopeless(machines) and not entry.tracked.state.ended:
@@ -337,7 +337,7 @@
         for task in observation.running:
             entry = worker.entries_by_key.get(task.key)
             if entry is not None:
-                entry.update_progress(task.percent, self._clock.monotonic())
+                entry.observed.update(task.percent, self._clock.monotonic())
                 self._update_checkpoint(entry, task.checkpoint)
             elif task.key not in ended:
                 untracked[task.key] = ledger.footprint_of(
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import observed_progress
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 
@@ -17,8 +18,6 @@
 
 # Run time assumed for tasks without an estimate.
 DEFAULT_ESTIMATE_S = 5.0
-# Progress from which a run's rate is known.
-MIN_SEEN_PERCENT = 5
 
 
 @dataclasses.dataclass
@@ -76,11 +75,7 @@
             placement; the run is started once that change is recorded.
         stop_requested: the run must be stopped, for example because its job
             has ended or because it stalled.
-        percent: progress that the worker last reported; None before that.
-        started_s: monotonic time at which it was first reported as running.
-        progressed_s: monotonic time at which its progress last increased.
-        first_percent: progress when it was first reported; above 0 for a run
-            that a previous scheduler started.
+        observed: progress that the worker has reported to this scheduler.
     """
 
     tracked: TrackedJob
@@ -90,10 +85,9 @@
     member: int
     ordered_at_change: int
     stop_requested: bool = False
-    percent: int | None = None
-    started_s: float | None = None
-    progressed_s: float = 0.0
-    first_percent: int = 0
+    observed: observed_progress.ObservedProgress = dataclasses.field(
+        default_factory=observed_progress.ObservedProgress
+    )
 
     @property
     def key(self) -> runs.RunKey:
@@ -105,35 +99,16 @@
         """The step that the task belongs to."""
         return self.tracked.step_of(self.name.step)
 
-    def update_progress(self, percent: int, now_s: float) -> None:
-        """Updates the progress from the worker's report."""
-        if self.started_s is None:
-            self.started_s = now_s
-            self.first_percent = percent
-        if self.percent is None or percent > self.percent:
-            self.progressed_s = now_s
-        self.percent = percent
-
-    @property
-    def worked_s(self) -> float:
-        """Time from the first report to the latest progress, in seconds.
-
-        Reports that repeat what is known, as while the worker is down, don't
-        count.
-        """
-        if self.started_s is None:
-            return 0.0
-        return self.progressed_s - self.started_s
-
     def execution_time_s(self, now_s: float) -> float:
         """Returns the approximate execution time so far, in seconds.
 
         The time before the first report is derived from the step's estimate.
         """
-        if self.started_s is None:
+        observed = self.observed
+        if observed.started_s is None:
             return 0.0
-        earlier_s = self.step.estimate_s * self.first_percent / 100
-        return earlier_s + now_s - self.started_s
+        earlier_s = self.step.estimate_s * observed.first_percent / 100
+        return earlier_s + now_s - observed.started_s
 
     def remaining_s(self, now_s: float) -> float:
         """Returns the expected remaining time of its own work, in seconds.
@@ -144,13 +119,13 @@
             return 0.0
         if self.step.long_running:
             return float("inf")
+        by_rate_s = self.observed.remaining_s(now_s)
+        if by_rate_s is not None:
+            return by_rate_s
         elapsed_s = self.execution_time_s(now_s)
-        if self.percent:
-            seen_percent = self.percent - self.first_percent
-            if self.started_s is not None and seen_percent >= MIN_SEEN_PERCENT:
-                seen_s = now_s - self.started_s
-                return seen_s * (100 - self.percent) / seen_percent
-            return elapsed_s * (100 - self.percent) / self.percent
+        percent = self.observed.percent
+        if percent:
+            return elapsed_s * (100 - percent) / percent
         return max(
             0.0, (self.step.estimate_s or DEFAULT_ESTIMATE_S) - elapsed_s
         )
@@ -175,7 +150,9 @@
         members: the members of the run, at least one.
         now_s: current monotonic time.
     """
-    known = [member for member in members if member.percent is not None]
+    known = [
+        member for member in members if member.observed.percent is not None
+    ]
     return max(member.remaining_s(now_s) for member in known or members)
 
 
--- a/pimentobridge/core/scheduling/stalls.py
+++ b/pimentobridge/core/scheduling/stalls.py
@@ -56,12 +56,12 @@
     def _check(
         self, worker: fleet.TrackedWorker, entry: ledger.RunEntry, now_s: float
     ) -> None:
-        if entry.started_s is None or entry.step.long_running:
+        if entry.observed.started_s is None or entry.step.long_running:
             return
-        if entry.percent == COMPLETE_PERCENT:
+        if entry.observed.percent == COMPLETE_PERCENT:
             # A gang member at 100 % may wait for the other members.
             return
-        stalled_s = now_s - entry.progressed_s
+        stalled_s = now_s - entry.observed.progressed_s
         if stalled_s <= max_stall_s(entry):
             return
         entry.stop_requested = True
@@ -72,17 +72,18 @@
             task=str(entry.name),
             run=entry.run,
             worker=worker.key.worker,
-            percent=entry.percent,
+            percent=entry.observed.percent,
             still_s=round(stalled_s, 2),
         )
 
 
 def max_stall_s(entry: ledger.RunEntry) -> float:
     """Returns how long the run may go without progress, in seconds."""
-    if entry.started_s is None:
+    observed = entry.observed
+    if observed.started_s is None:
         return float("inf")
-    if entry.percent:
-        mean_interval_s = (entry.progressed_s - entry.started_s) / entry.percent
+    if observed.percent:
+        mean_interval_s = observed.worked_s / observed.percent
         return max(MIN_STALL_S, PROGRESS_INTERVAL_FACTOR * mean_interval_s)
     estimate_s = entry.step.estimate_s or ledger.DEFAULT_ESTIMATE_S
     return max(MIN_STALL_S, ESTIMATE_FACTOR * estimate_s)
