Let agents that are told to stop wait for runs about to end

Cause: an agent exited within half a second of its signal; its machine was removed for good, the worker went on under its lease, and the end of a run 0.6 s later was read by nobody, so the task ran again 8.6 s later. Change: the agent stays within the grace period while a run is expected to end, by the rate of its progress, or an end isn't recorded. It says so to the scheduler, which places nothing new there.

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -145,6 +145,8 @@
         reachable: whether the worker accepted the latest connection.
         crashes: incarnations on the machine that ended without notice while
             this agent served them.
+        agent_stopping: the agent is about to stop; whether another one follows
+            on the machine isn't known.
     """
 
     incarnation: WorkerIncarnation
@@ -155,3 +157,4 @@
     terminated: bool = False
     crashes: tuple[Crash, ...] = ()
     reachable: bool = True
+    agent_stopping: bool = False
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -198,6 +198,7 @@
         worker = self._get_or_add_worker(key)
         self._update_incarnation(worker, agent, observation.incarnation)
         worker.reachable = observation.reachable
+        worker.agent_stopping = observation.agent_stopping
         self._apply_reported_runs(worker, observation)
         if observation.terminated:
             self._count_crashes(worker, agent, observation)
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -43,6 +43,7 @@
             to the worker as an acknowledgement.
         used: resources reserved by tracked and untracked runs.
         reachable: whether its agent could connect to it lately.
+        agent_stopping: whether its agent is about to stop.
     """
 
     key: runs.IncarnationKey
@@ -64,6 +65,7 @@
     acknowledged_end: int = 0
     used: model.Resources = model.NO_RESOURCES
     reachable: bool = True
+    agent_stopping: bool = False
     health: health_lib.Health = dataclasses.field(
         default_factory=health_lib.Health
     )
@@ -110,6 +112,7 @@
             self.incarnation is not None
             and not self.incarnation.draining
             and self.reachable
+            and not self.agent_stopping
             and now_s - self.last_report_s <= MAX_REPORT_AGE_S
             and self.health.usable(now_s)
         )
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -9,6 +9,7 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import document_source
+from pimentobridge.daemons import expected_ends
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import report_route
 from pimentobridge.daemons import started_runs
@@ -31,6 +32,7 @@
 REPORT_INTERVAL_S = 0.5
 POLL_WAIT_S = 0.5
 ORDER_RETRY_PAUSE_S = 0.1
+FINISH_CHECK_INTERVAL_S = 0.05
 
 
 class WorkerAgent:
@@ -83,6 +85,7 @@
         self._started_runs = started_runs.StartedRuns()
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
+        self._stopping = False
         self._clear_worker_state()
 
     def _clear_worker_state(self) -> None:
@@ -98,6 +101,7 @@
         self._clock_s = 0.0
         self._clock_read_s = 0.0
         self._has_polled = False
+        self._expected_ends = expected_ends.ExpectedEnds()
         self._contact = worker_contact.WorkerContact(self._settings.max_lease_s)
 
     async def run(self) -> None:
@@ -129,9 +133,34 @@
         return self._configuration_source.server.in_use
 
     def announce_shutdown(self) -> None:
-        """Sends entries to another source of the configuration."""
+        """Tells the scheduler and the entries that this agent is stopping.
+
+        The worker gets no new tasks from then on, and entries get the
+        configuration from another source.
+        """
+        self._stopping = True
+        self._wake_report.set()
         self._configuration_source.server.announce_shutdown()
 
+    async def finish_runs(self, timeout_s: float) -> None:
+        """Waits for the runs that are about to end, and for their records.
+
+        Nobody reads the end of a run that the worker executes while it has no
+        agent, and this machine may be removed for good. Returns at once if no
+        run is expected to end within the timeout.
+
+        Args:
+            timeout_s: longest wait, in seconds.
+        """
+        until_s = self._clock.monotonic() + timeout_s
+        while self._may_act() and self._clock.monotonic() < until_s:
+            about_to_end = self._expected_ends.any_by(
+                until_s, self._clock.monotonic()
+            )
+            if not about_to_end and not self._has_unacknowledged_ends:
+                return
+            await trio.sleep(FINISH_CHECK_INTERVAL_S)
+
     # Heartbeats of the worker, and its deregistration.
 
     def on_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
@@ -381,9 +410,7 @@
             if self._worker is None:
                 await self._wait_for_poll(POLL_WAIT_S)
                 continue
-            unacknowledged = any(
-                end.number > self._acknowledged_end for end in self._ended
-            )
+            unacknowledged = self._has_unacknowledged_ends
             wait_s = (
                 0.0 if unacknowledged or not self._has_polled else POLL_WAIT_S
             )
@@ -393,6 +420,10 @@
             elif unacknowledged:
                 await self._wait_for_poll(worker_contact.POLL_RETRY_PAUSE_S)
 
+    @property
+    def _has_unacknowledged_ends(self) -> bool:
+        return any(end.number > self._acknowledged_end for end in self._ended)
+
     async def _wait_for_poll(self, timeout_s: float) -> None:
         with trio.move_on_after(timeout_s):
             await self._wake_poll.wait()
@@ -468,6 +499,7 @@
             != {task.key for task in self._running}
         )
         self._running, self._ended = status.running, ended
+        self._expected_ends.on_running(status.running, self._clock_read_s)
         self._started_runs.on_over(end.key for end in ended)
         if changed:
             self._wake_report.set()
@@ -493,6 +525,7 @@
                 terminated=self._contact.ended,
                 crashes=self._started_runs.crashes,
                 reachable=self._contact.reachable,
+                agent_stopping=self._stopping,
             )
         now_s = self._clock.monotonic()
         report = control.WorkerReport(
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -174,6 +174,12 @@
         world.workers[number].kill()
 
 
+async def _terminate_agents(world: world_lib.World, fault: Fault) -> None:
+    async with trio.open_nursery() as nursery:
+        for number in fault.targets:
+            nursery.start_soon(world.workers[number].terminate)
+
+
 async def _kill_all(world: world_lib.World, fault: Fault) -> None:
     del fault
     for host in world.entries:
@@ -290,6 +296,7 @@
     "entries terminated": _terminate_entries,
     "scheduler killed": _kill_scheduler,
     "agents killed": _kill_agents,
+    "agents terminated": _terminate_agents,
     "all killed": _kill_all,
     "workers lose power": _power_off_workers,
     "runners crash": _crash_runners,
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -49,6 +49,8 @@
 # The policy of the advised queues denies each step one worker in this many.
 DENY_ONE_IN = 3
 RESTART_DELAY_S = 0.6
+# Time for which an agent that is told to stop waits for runs about to end.
+AGENT_FINISH_S = 4.5
 # Time after which a runner that a task has crashed is back.
 RUNNER_RESTART_S = 2.0
 ENTRY_DRAIN_S = 2.5
@@ -230,6 +232,20 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    async def terminate(self) -> None:
+        """Stops the agent as its process does; it is restarted afterwards."""
+        if self.agent is not None:
+            self.agent.announce_shutdown()
+            await self.agent.finish_runs(AGENT_FINISH_S)
+        if self.agent is not None:
+            await self.agent.extend_lease()
+        self.kill()
+
+    async def terminate_for_good(self) -> None:
+        """Stops the agent for good; the runner goes on under its lease."""
+        self._removed = True
+        await self.terminate()
+
     def remove(self) -> None:
         """Removes the machine for good, with its agent and its runner."""
         self._removed = True
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -874,3 +874,11 @@
     harness.record()
     ((_, key),) = started(harness.observe_all())
     assert key.task == "a" * 16 + ".0.0.0"
+
+
+def test_a_worker_whose_agent_stops_gets_no_new_tasks() -> None:
+    harness = EngineHarness(1)
+    harness.observe(0, agent_stopping=True)
+    assert started(harness.submit(job())) == []
+    harness.observe(0)
+    assert len(started(harness.submit())) == 1
