Count a crash though the gang's other members have ended before

Callers would have seen (BUDGET): a gang with a task that crashes its workers started again and again. Cause: the other members end as broken within a moment of the crash, so the unit was ending when the crash was reported, and a crash counted only under units that were at work. Change: a crash counts under the unit's latest run, ending or not. The stand-in runner breaks the gang of a member that crashes, as the platform's does.

--- a/pimentobridge/core/scheduling/crashes.py
+++ b/pimentobridge/core/scheduling/crashes.py
@@ -40,7 +40,7 @@
     possible = [
         entry
         for entry in worker.entries_by_key.values()
-        if entry.is_current and not entry.step.long_running
+        if entry.is_latest and not entry.step.long_running
     ]
     started = [entry for entry in possible if entry.key in crash.started]
     just_started = [
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -134,8 +134,19 @@
     def is_current(self) -> bool:
         """Whether this is the unit's active run and the job hasn't ended."""
         return (
-            self.unit.run == self.run
+            self.is_latest
             and self.unit.status is progress_lib.UnitStatus.ACTIVE
+        )
+
+    @property
+    def is_latest(self) -> bool:
+        """Whether this is the unit's latest run, which may be ending.
+
+        False once the unit is done or the job has ended.
+        """
+        return (
+            self.unit.run == self.run
+            and self.unit.status is not progress_lib.UnitStatus.DONE
             and not self.tracked.state.ended
         )
 
--- a/pimentobridge/testing/platform_runner.py
+++ b/pimentobridge/testing/platform_runner.py
@@ -237,11 +237,22 @@
         return self._pool.clock() - self._started_s + 1.0
 
     def crash(self) -> None:
-        """Ends this incarnation and all of its runs."""
+        """Ends this incarnation and all of its runs, and breaks their gangs."""
         self.up = False
-        for run in list(self.runs_by_task.values()):
-            self._pool.observer.on_end(self, run, "crash")
+        crashed = list(self.runs_by_task.values())
+        orphans = [
+            (runner, member)
+            for run in crashed
+            if run.spec.gang
+            for runner, member in self._pool.gang_members(run)
+            if runner is not self
+        ]
         self.runs_by_task.clear()
+        for run in crashed:
+            self._pool.observer.on_end(self, run, "crash")
+        for runner, member in orphans:
+            if member.task in runner.runs_by_task:
+                runner._end(member, "broken")
 
     def resize(self, capacity: model.Resources) -> None:
         """Changes the capacity; what runs goes on, also beyond it."""
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -882,3 +882,25 @@
     assert started(harness.submit(job())) == []
     harness.observe(0)
     assert len(started(harness.submit())) == 1
+
+
+def _gang_on_two_workers() -> tuple[EngineHarness, list[runs.RunKey]]:
+    """Starts a gang with one member on each of two workers."""
+    harness = EngineHarness(2)
+    whole = model.Step(2, WORKER, 5.0, gang=True)
+    orders = started(harness.submit(job("a" * 16, whole)))
+    return harness, [key for _, key in sorted(orders)]
+
+
+# Guards against BUDGET (issue 23): the ends of a gang's other members came
+# before the crash was reported, which then counted for none of its tasks.
+def test_a_crash_counts_though_the_other_members_have_ended() -> None:
+    harness, (first, second) = _gang_on_two_workers()
+    harness.observe(1, running=just_started(second))
+    harness.observe(0, ended=ended(first, runs.EndCause.GANG_BROKEN))
+    crashed = harness.incarnations[1].key
+    harness.incarnations[1] = harness.incarnation(1, started_ms=2)
+    harness.observe(1, crashes=(runs.Crash(crashed, (second,)),))
+    tracked = harness.engine.jobs_by_id[types.JobId("a" * 16)]
+    (unit,) = [unit for _, _, unit in tracked.progress.units()]
+    assert unit.crashed_on_by_member == {1: [types.Address("agent-1")]}
