Stop a gang at once if a member can't start

Cause: the scheduler knew that the worker refuses connections and waited for the gang's time to run out.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -16,6 +16,7 @@
 from pimentobridge.core.scheduling import crashes
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
+from pimentobridge.core.scheduling import gangs
 from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
@@ -200,6 +201,8 @@
         worker.reachable = observation.reachable
         worker.agent_stopping = observation.agent_stopping
         self._apply_reported_runs(worker, observation)
+        if not worker.reachable:
+            self._stop_incomplete_gangs(worker)
         if observation.terminated:
             self._count_crashes(worker, agent, observation)
             self._remove_incarnation(key, "incarnation ended")
@@ -255,6 +258,20 @@
             self.advice.drop_ticket(step, worker.key)
         self._release_run(worker, refused, "start refused")
 
+    def _stop_incomplete_gangs(self, worker: fleet.TrackedWorker) -> None:
+        """Stops gangs that would wait in vain for a member to start."""
+        for entry in gangs.runs_of_incomplete_gangs(
+            worker, self.workers_by_incarnation
+        ):
+            entry.stop_requested = True
+            self._log(
+                "incomplete gang stopped",
+                job=entry.tracked.id,
+                task=str(entry.name),
+                run=entry.run,
+                unreachable_worker=worker.key.worker,
+            )
+
     def _evacuate(self, worker: fleet.TrackedWorker) -> None:
         """Stops runs so that they start again on other workers."""
         for entry in evacuation.runs_to_move(
--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -4,14 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from pimentobridge.core.jobs import model
-from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import gangs
 from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from collections.abc import Mapping
 
+    from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import fleet
 
 
@@ -39,7 +38,7 @@
     for entry in worker.entries_by_key.values():
         if not entry.is_current or entry.stop_requested:
             continue
-        members = list(_members(entry, workers_by_incarnation))
+        members = list(gangs.members_of(entry, workers_by_incarnation))
         if _must_move(entry, members, leaves_in_s, now_s):
             moving |= {
                 member.key: member
@@ -60,20 +59,3 @@
     if entry.step.long_running or leaves_in_s is None:
         return False
     return ledger.remaining_s(members, now_s) > leaves_in_s
-
-
-def _members(
-    entry: ledger.RunEntry,
-    workers_by_incarnation: Mapping[runs.IncarnationKey, fleet.TrackedWorker],
-) -> Iterator[ledger.RunEntry]:
-    """Yields the members of a run, which may be on several workers."""
-    for number, placed in enumerate(entry.unit.placements):
-        key = runs.IncarnationKey(placed.worker, placed.started_ms)
-        worker = workers_by_incarnation.get(key)
-        name = model.TaskName(*entry.name[:3], entry.unit.first + number)
-        if worker is not None:
-            member = worker.entries_by_key.get(
-                runs.RunKey(str(name), entry.run)
-            )
-            if member is not None:
-                yield member
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -892,6 +892,23 @@
     return harness, [key for _, key in sorted(orders)]
 
 
+# Guards against GANG (issue 23): the members waited until their time was over
+# for one that couldn't start, as its worker had crashed.
+def test_a_gang_is_stopped_if_a_member_can_not_start() -> None:
+    harness, (first, _) = _gang_on_two_workers()
+    harness.observe(0, running=just_started(first))
+    harness.observe(1, reachable=False)
+    assert harness.observe(0, running=just_started(first)).stops == (first,)
+
+
+def test_a_gang_at_work_is_not_stopped_if_a_worker_is_unreachable() -> None:
+    harness, (first, second) = _gang_on_two_workers()
+    harness.observe(0, running=running(first))
+    harness.observe(1, running=running(second))
+    harness.observe(1, running=running(second), reachable=False)
+    assert harness.observe(0, running=running(first)).stops == ()
+
+
 # Guards against BUDGET (issue 23): the ends of a gang's other members came
 # before the crash was reported, which then counted for none of its tasks.
 def test_a_crash_counts_though_the_other_members_have_ended() -> None:
