--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -6,14 +6,13 @@
 
 import trio
 
-from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import document_source
-from pimentobridge.daemons import expected_ends
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import report_route
 from pimentobridge.daemons import started_runs
 from pimentobridge.daemons import worker_contact
+from pimentobridge.daemons import worker_view
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
 from pimentobridge.protocol import control
@@ -24,6 +23,7 @@
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
+    from pimentobridge.core.jobs import runs
     from pimentobridge.platform import boot_settings
     from pimentobridge.platform import heartbeats
     from pimentobridge.platform import kv_store
@@ -86,23 +86,10 @@
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
         self._stopping = False
-        self._clear_worker_state()
-
-    def _clear_worker_state(self) -> None:
-        self._running: tuple[runs.RunningTask, ...] = ()
-        self._ended: tuple[runs.EndedRun, ...] = ()
-        self._refused: set[runs.RunKey] = set()
-        self._stop_confirmed: set[runs.RunKey] = set()
-        self._orders_in_progress: set[tuple[str, runs.RunKey]] = set()
-        # Number up to which the scheduler has acknowledged the ends of runs.
-        self._acknowledged_end = 0
-        # The worker's clock in its newest response to a poll, and this agent's
-        # when the response arrived.
-        self._clock_s = 0.0
-        self._clock_read_s = 0.0
-        self._has_polled = False
-        self._expected_ends = expected_ends.ExpectedEnds()
-        self._contact = worker_contact.WorkerContact(self._settings.max_lease_s)
+        self._view = self._new_view()
+
+    def _new_view(self) -> worker_view.WorkerView:
+        return worker_view.WorkerView(self._settings.max_lease_s)
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -121,9 +108,9 @@
             "worker_draining": float(worker is not None and worker.draining),
             "may_act": float(self._may_act()),
             "orders_age_seconds": self._clock.monotonic() - self._answered_s,
-            "running_tasks": len(self._running),
+            "running_tasks": len(self._view.running),
             "supplies_configuration": float(self.supplies_configuration),
-            "unrecorded_ends": len(self._ended),
+            "unrecorded_ends": len(self._view.ended),
             "log_lines_left_out_total": logs.dropped_lines(),
         }
 
@@ -154,10 +141,10 @@
         """
         until_s = self._clock.monotonic() + timeout_s
         while self._may_act() and self._clock.monotonic() < until_s:
-            about_to_end = self._expected_ends.any_by(
+            about_to_end = self._view.expected_ends.any_by(
                 until_s, self._clock.monotonic()
             )
-            if not about_to_end and not self._has_unacknowledged_ends:
+            if not about_to_end and not self._view.has_unacknowledged_ends:
                 return
             await trio.sleep(FINISH_CHECK_INTERVAL_S)
 
@@ -179,7 +166,7 @@
                 earlier=current.key.worker if current else None,
             )
             self._note_end_of_incarnation()
-            self._clear_worker_state()
+            self._view = self._new_view()
             self._instructions = None
             self._sequence = 0
         elif heartbeat.sequence <= self._sequence:
@@ -195,14 +182,15 @@
         if self._worker is not None:
             self._started_runs.on_ended(
                 self._worker.key,
-                (task.key for task in self._running),
-                announced=self._worker.draining or self._contact.deregistered,
+                (task.key for task in self._view.running),
+                announced=self._worker.draining
+                or self._view.contact.deregistered,
             )
 
     def on_deregistered(self, worker: str) -> None:
         """Notes that the worker has announced that it is shutting down."""
         if self._worker is not None and self._worker.key.worker == worker:
-            self._contact.deregistered = True
+            self._view.contact.deregistered = True
 
     # Orders of the scheduler.
 
@@ -247,21 +235,20 @@
         if not self._is_current(instructions.incarnation):
             return
         self._instructions = instructions
-        if instructions.acknowledged_end > self._acknowledged_end:
-            self._acknowledged_end = instructions.acknowledged_end
+        if instructions.acknowledged_end > self._view.acknowledged_end:
+            self._view.acknowledged_end = instructions.acknowledged_end
             self._wake_poll.set()
         self._act_on(instructions)
 
     def _act_on(self, instructions: runs.Instructions) -> None:
         ordered = {order.key for order in instructions.starts}
         ordered |= set(instructions.stops)
-        self._refused &= ordered
-        self._stop_confirmed &= ordered
+        self._view.keep_answers_to(ordered)
         for order in instructions.starts:
-            if order.key not in self._refused:
+            if order.key not in self._view.refused:
                 self._spawn_order("start", order.key, self._start_run, order)
         for key in instructions.stops:
-            if key not in self._stop_confirmed:
+            if key not in self._view.stop_confirmed:
                 self._spawn_order("stop", key, self._stop_run, key)
 
     def _spawn_order(
@@ -273,12 +260,12 @@
     ) -> None:
         """Carries out an order in the background, unless that is under way."""
         order_id = (kind, key)
-        if order_id in self._orders_in_progress or self._nursery is None:
+        if order_id in self._view.orders_in_progress or self._nursery is None:
             return
-        self._orders_in_progress.add(order_id)
+        self._view.orders_in_progress.add(order_id)
 
         async def carry_out() -> None:
-            in_progress = self._orders_in_progress
+            in_progress = self._view.orders_in_progress
             try:
                 await handler(argument)  # type: ignore[misc]
             finally:
@@ -311,7 +298,7 @@
         while self._wants_start(incarnation, order.key):
             if order.key in self._started_runs.started:
                 return
-            if not self._has_polled:
+            if not self._view.has_polled:
                 await trio.sleep(ORDER_RETRY_PAUSE_S)
                 continue
             token = self._token
@@ -319,7 +306,7 @@
                 incarnation.worker,
                 order,
                 token=token,
-                lease_until_s=self._lease_until_s(),
+                lease_until_s=self._view.lease_until_s(self._clock.monotonic()),
             )
             logs.event(
                 "start ordered",
@@ -330,7 +317,7 @@
                 outcome=outcome.value,
             )
             if outcome is not runner_lib.StartResult.UNREACHABLE:
-                self._contact.on_possible_arrival()
+                self._view.contact.on_possible_arrival()
             if outcome is runner_lib.StartResult.UNKNOWN:
                 self._started_runs.on_unanswered(order.key)
             if outcome is runner_lib.StartResult.RUNNING:
@@ -353,7 +340,7 @@
     ) -> None:
         """Reports a refusal, after a poll for the run's end if it has ended."""
         if await self._poll(0.0) and self._is_current(incarnation):
-            self._refused.add(key)
+            self._view.refused.add(key)
             self._wake_report.set()
 
     async def _stop_run(self, key: runs.RunKey) -> None:
@@ -364,7 +351,7 @@
             return
         self._started_runs.on_over([key])
         if await self._poll(0.0) and self._is_current(incarnation):
-            self._stop_confirmed.add(key)
+            self._view.stop_confirmed.add(key)
             self._wake_report.set()
 
     async def _stop_permanently(
@@ -400,19 +387,16 @@
 
     # Polls of the worker, and its lease.
 
-    def _lease_until_s(self) -> float:
-        """Returns the end of the longest lease, on the worker's clock."""
-        passed_s = self._clock.monotonic() - self._clock_read_s
-        return self._clock_s + passed_s + self._settings.max_lease_s
-
     async def _poll_forever(self) -> None:
         while True:
             if self._worker is None:
                 await self._wait_for_poll(POLL_WAIT_S)
                 continue
-            unacknowledged = self._has_unacknowledged_ends
+            unacknowledged = self._view.has_unacknowledged_ends
             wait_s = (
-                0.0 if unacknowledged or not self._has_polled else POLL_WAIT_S
+                0.0
+                if unacknowledged or not self._view.has_polled
+                else POLL_WAIT_S
             )
             if not await self._poll(wait_s):
                 await trio.sleep(worker_contact.POLL_RETRY_PAUSE_S)
@@ -420,10 +404,6 @@
             elif unacknowledged:
                 await self._wait_for_poll(worker_contact.POLL_RETRY_PAUSE_S)
 
-    @property
-    def _has_unacknowledged_ends(self) -> bool:
-        return any(end.number > self._acknowledged_end for end in self._ended)
-
     async def _wait_for_poll(self, timeout_s: float) -> None:
         with trio.move_on_after(timeout_s):
             await self._wake_poll.wait()
@@ -441,24 +421,26 @@
         if self._worker is None:
             return False
         incarnation = self._worker.key
-        renew = self._may_act() and self._has_polled
+        renew = self._may_act() and self._view.has_polled
         response = await self._runner.poll(
             incarnation.worker,
             token=self._token,
-            acknowledged_end=self._acknowledged_end,
-            lease_until_s=self._lease_until_s() if renew else None,
+            acknowledged_end=self._view.acknowledged_end,
+            lease_until_s=self._view.lease_until_s(self._clock.monotonic())
+            if renew
+            else None,
             wait_s=wait_s,
         )
         if not self._is_current(incarnation):
             return False
         if response is not runner_lib.PollFailure.UNREACHABLE:
-            self._contact.on_possible_arrival()
+            self._view.contact.on_possible_arrival()
         if isinstance(response, runner_lib.PollFailure):
             logs.event(
                 "look failed", worker=incarnation.worker, why=response.value
             )
             unreachable = response is runner_lib.PollFailure.UNREACHABLE
-            if unreachable and self._contact.on_unreachable():
+            if unreachable and self._view.contact.on_unreachable():
                 self._wake_report.set()
             return False
         if response.born_ms not in (0, incarnation.started_ms):
@@ -468,40 +450,26 @@
                 born_ms=response.born_ms,
             )
             return False
-        if response.clock_s < self._clock_s:
+        if self._view.is_outdated(response):
             return True
         self._apply_status(response)
         return True
 
     def _detect_end(self) -> None:
         """Reports the worker as ended once its lease must be over."""
-        if self._worker is None or not self._contact.on_retry_pause():
+        if self._worker is None or not self._view.contact.on_retry_pause():
             return
         logs.event(
             "worker gone",
             worker=self._worker.key.worker,
-            unreachable_polls=self._contact.unreachable_polls,
+            unreachable_polls=self._view.contact.unreachable_polls,
         )
         self._note_end_of_incarnation()
         self._wake_report.set()
 
     def _apply_status(self, status: runner_lib.RunnerStatus) -> None:
-        self._clock_s = status.clock_s
-        self._clock_read_s = self._clock.monotonic()
-        self._has_polled = True
-        if self._contact.on_answer():
-            self._wake_report.set()
-        ended = tuple(
-            end for end in status.ended if end.number > self._acknowledged_end
-        )
-        changed = ended != self._ended or (
-            {task.key for task in status.running}
-            != {task.key for task in self._running}
-        )
-        self._running, self._ended = status.running, ended
-        self._expected_ends.on_running(status.running, self._clock_read_s)
-        self._started_runs.on_over(end.key for end in ended)
-        if changed:
+        self._started_runs.on_over(end.key for end in status.ended)
+        if self._view.apply(status, self._clock.monotonic()):
             self._wake_report.set()
 
     # Reports to the scheduler.
@@ -515,16 +483,10 @@
 
     def _report(self) -> None:
         observation = None
-        if self._worker is not None and self._has_polled:
-            observation = runs.Observation(
-                incarnation=self._worker,
-                running=self._running,
-                ended=self._ended,
-                refused=tuple(self._refused),
-                stop_confirmed=tuple(self._stop_confirmed),
-                terminated=self._contact.ended,
+        if self._worker is not None and self._view.has_polled:
+            observation = self._view.observation(
+                self._worker,
                 crashes=self._started_runs.crashes,
-                reachable=self._contact.reachable,
                 agent_stopping=self._stopping,
             )
         now_s = self._clock.monotonic()
--- /dev/null
+++ b/pimentobridge/daemons/worker_view.py
@@ -0,0 +1,115 @@
+"""What an agent knows of the present incarnation of its worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pimentobridge.core.jobs import runs
+from pimentobridge.daemons import expected_ends
+from pimentobridge.daemons import worker_contact
+
+if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
+    from pimentobridge.platform import runner as runner_lib
+
+
+class WorkerView:
+    """Lists of runs that the worker or its answers to orders have shown.
+
+    Args:
+        max_lease_s: longest lease that the worker may hold, in seconds.
+
+    Attributes:
+        running: runs that it listed last as running.
+        ended: ends that it listed last and the scheduler hasn't acknowledged.
+        refused: runs that it will never start.
+        stop_confirmed: runs that it has stopped and will never start.
+        orders_in_progress: kind and run of the orders being carried out.
+        acknowledged_end: number up to which the scheduler has acknowledged the
+            ends of runs.
+        has_polled: whether it has answered a poll.
+        expected_ends: when its runs are expected to end.
+        contact: whether it can be reached.
+    """
+
+    def __init__(self, max_lease_s: float) -> None:
+        self._max_lease_s = max_lease_s
+        self.running: tuple[runs.RunningTask, ...] = ()
+        self.ended: tuple[runs.EndedRun, ...] = ()
+        self.refused: set[runs.RunKey] = set()
+        self.stop_confirmed: set[runs.RunKey] = set()
+        self.orders_in_progress: set[tuple[str, runs.RunKey]] = set()
+        self.acknowledged_end = 0
+        self.has_polled = False
+        self.expected_ends = expected_ends.ExpectedEnds()
+        self.contact = worker_contact.WorkerContact(max_lease_s)
+        # The worker's clock in its newest answer to a poll, and the agent's
+        # when the answer arrived.
+        self._clock_s = 0.0
+        self._clock_read_s = 0.0
+
+    def lease_until_s(self, now_s: float) -> float:
+        """Returns the end of the longest lease, on the worker's clock."""
+        passed_s = now_s - self._clock_read_s
+        return self._clock_s + passed_s + self._max_lease_s
+
+    @property
+    def has_unacknowledged_ends(self) -> bool:
+        """Whether an end was listed that the scheduler hasn't acknowledged."""
+        return any(end.number > self.acknowledged_end for end in self.ended)
+
+    def keep_answers_to(self, ordered: AbstractSet[runs.RunKey]) -> None:
+        """Forgets refusals and stops of runs that no order names any more."""
+        self.refused &= ordered
+        self.stop_confirmed &= ordered
+
+    def is_outdated(self, status: runner_lib.RunnerStatus) -> bool:
+        """Whether a newer answer has arrived before this one."""
+        return status.clock_s < self._clock_s
+
+    def apply(self, status: runner_lib.RunnerStatus, now_s: float) -> bool:
+        """Takes the newest answer to a poll.
+
+        Returns:
+            Whether it shows anything that the scheduler should know at once.
+        """
+        self._clock_s, self._clock_read_s = status.clock_s, now_s
+        self.has_polled = True
+        regained = self.contact.on_answer()
+        ended = tuple(
+            end for end in status.ended if end.number > self.acknowledged_end
+        )
+        changed = ended != self.ended or (
+            {task.key for task in status.running}
+            != {task.key for task in self.running}
+        )
+        self.running, self.ended = status.running, ended
+        self.expected_ends.on_running(status.running, now_s)
+        return regained or changed
+
+    def observation(
+        self,
+        incarnation: runs.WorkerIncarnation,
+        *,
+        crashes: tuple[runs.Crash, ...],
+        agent_stopping: bool,
+    ) -> runs.Observation:
+        """Returns the report on the worker.
+
+        Args:
+            incarnation: what it says of itself.
+            crashes: incarnations on the machine that ended without notice.
+            agent_stopping: whether the agent is about to stop.
+        """
+        return runs.Observation(
+            incarnation=incarnation,
+            running=self.running,
+            ended=self.ended,
+            refused=tuple(self.refused),
+            stop_confirmed=tuple(self.stop_confirmed),
+            terminated=self.contact.ended,
+            crashes=crashes,
+            reachable=self.contact.reachable,
+            agent_stopping=agent_stopping,
+        )
