Count a worker's lease from the orders that a new agent has got

Likewise the agent acted on orders that answered reports of its predecessor, which queue while nobody listens. Change: answers to reports without the worker count, unless the lease has expired by then; agents ignore orders that don't answer a report of their own, by its time. Red before: tests/test_scheduling.py::test_a_lease_counts_from_orders_that_a_new_agent_has_got needs the new call.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -65,10 +65,9 @@
         self._clock = clock
         self._log = log
         self._started_s = clock.monotonic()
-        self._lost_after_s = (
-            ORDER_VALIDITY_S
-            + max_lease_s * (1 + CLOCK_RATE_ERROR)
-            + LEASE_SLACK_S
+        # Time from the last renewal until the lease must have expired.
+        self._expired_after_s = (
+            max_lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_SLACK_S
         )
         self.jobs_by_id: dict[types.JobId, ledger.TrackedJob] = {}
         self.workers_by_incarnation: dict[
@@ -508,13 +507,37 @@
         """Removes the workers whose leases must have expired."""
         now_s = self._clock.monotonic()
         for key, worker in list(self.workers_by_incarnation.items()):
-            if now_s - worker.last_report_s > self._lost_after_s:
+            if now_s > self._expired_by_s(worker):
                 self._remove_incarnation(
                     key, "no report until its lease expired"
                 )
                 if worker.agent is not None:
                     self.incarnation_by_agent.pop(worker.agent, None)
 
+    def _expired_by_s(self, worker: fleet.TrackedWorker) -> float:
+        """Returns the monotonic time by which its lease must have expired."""
+        return max(
+            self._unrenewed_until_s(worker),
+            worker.last_answer_s + ORDER_VALIDITY_S + self._expired_after_s,
+        )
+
+    def _unrenewed_until_s(self, worker: fleet.TrackedWorker) -> float:
+        """Returns when its lease expires if no other agent renews it."""
+        return worker.last_report_s + ORDER_VALIDITY_S + self._expired_after_s
+
+    def on_answered(self, agent: types.Address) -> None:
+        """Notes that orders answer a report that names no worker.
+
+        The agent has just started and may renew the lease of its worker before
+        it reports on it, unless the lease has expired by then.
+        """
+        now_s = self._clock.monotonic()
+        for worker in self.workers_by_incarnation.values():
+            if worker.agent == agent and (
+                now_s <= self._unrenewed_until_s(worker)
+            ):
+                worker.last_answer_s = now_s
+
     def request_pass_at(self, time_s: float) -> None:
         """Requests a scheduling pass at a monotonic time, if not before."""
         self._pass_due_s = min(self._pass_due_s, time_s)
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -25,6 +25,9 @@
     Attributes:
         last_report_s: monotonic time of the last report; before the first, the
             time at which this scheduler learned of the worker.
+        last_answer_s: monotonic time at which orders last answered a report
+            of its agent that didn't name the worker; the agent may renew the
+            lease by them.
         evacuated: the runs that wouldn't end before it shuts down have been
             moved.
         agent: address of its agent; None if unknown.
@@ -48,6 +51,7 @@
 
     key: runs.IncarnationKey
     last_report_s: float
+    last_answer_s: float = float("-inf")
     evacuated: bool = False
     agent: types.Address | None = None
     incarnation: runs.WorkerIncarnation | None = None
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -224,6 +224,8 @@
         self._reconnect_if_unanswered(report, link)
         if report.worker is not None and report.token == self.token:
             self.engine.observe(report.agent, report.worker)
+        else:
+            self.engine.on_answered(report.agent)
         self._send_orders(report.agent, link)
         if self.engine.needs_pass or self.engine.dirty_by_id:
             self._wake.set()
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -86,6 +86,7 @@
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
         self._stopping = False
+        self._started_s = clock.monotonic()
         self._view = self._new_view()
 
     def _new_view(self) -> worker_view.WorkerView:
@@ -224,6 +225,8 @@
             self._wake_report.set()
         if orders.entries:
             self._reports.entries = orders.entries
+        if orders.echo_s and not self._is_own_report(orders.echo_s):
+            return
         if orders.echo_s < self._answered_s or orders.echo_s == 0.0:
             if orders.echo_s == 0.0:
                 self._wake_report.set()
@@ -240,6 +243,13 @@
             self._wake_poll.set()
         self._act_on(instructions)
 
+    def _is_own_report(self, sent_s: float) -> bool:
+        """Whether a report with that sending time can be this agent's.
+
+        Orders for the agent that ran here before may arrive late.
+        """
+        return self._started_s <= sent_s <= self._clock.monotonic()
+
     def _act_on(self, instructions: runs.Instructions) -> None:
         ordered = {order.key for order in instructions.starts}
         ordered |= set(instructions.stops)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -62,6 +62,44 @@
     assert restarted == runs.RunKey(key.task, key.run + 1)
 
 
+def _time_until_lost_s(harness: engine_harness.EngineHarness) -> float:
+    """Returns how long the runs of worker 0 are kept without a report."""
+    harness.incarnations.append(harness.incarnation(1))
+    silent_s = 0.0
+    while silent_s < 2 * engine_harness.MAX_LEASE_S:
+        harness.plan()
+        harness.record()
+        if engine_harness.started([harness.observe(1)]):
+            break
+        harness.clock.advance(0.1)
+        silent_s += 0.1
+    return silent_s
+
+
+# Guards against TWICE: a lease that an agent had renewed before its first
+# report on the worker counted from the last report of its predecessor.
+def test_a_lease_counts_from_orders_that_a_new_agent_has_got() -> None:
+    harness = engine_harness.EngineHarness(1)
+    ((_, key),) = engine_harness.started(harness.submit(engine_harness.job()))
+    harness.observe(0, running=engine_harness.running(key))
+    harness.clock.advance(4.0)
+    harness.engine.on_answered(types.Address("agent-0"))
+    lost_s = _time_until_lost_s(harness)
+    valid_s = engine_lib.ORDER_VALIDITY_S + engine_harness.MAX_LEASE_S * 1.02
+    assert lost_s > valid_s
+
+
+def test_an_agent_that_never_sees_its_worker_does_not_keep_runs() -> None:
+    harness = engine_harness.EngineHarness(1)
+    ((_, key),) = engine_harness.started(harness.submit(engine_harness.job()))
+    harness.observe(0, running=engine_harness.running(key))
+    for _ in range(40):
+        harness.clock.advance(0.5)
+        harness.engine.on_answered(types.Address("agent-0"))
+        harness.engine.declare_lost()
+    assert not harness.engine.workers_by_incarnation
+
+
 def test_a_new_incarnation_on_the_machine_releases_the_old_runs() -> None:
     harness = engine_harness.EngineHarness(1)
     engine_harness.started(harness.submit(engine_harness.job()))
