Wait two seconds less for runs whose agent has stopped

Cause: the lease counted from the last report and the 2 s for which orders that answer it are valid, though the agent had renewed the lease for the last time and was gone. Change: an agent's last report says that it renews no more; what ran there is over 6.6 s later unless another agent reports. Test: tests/test_scheduling.py::test_runs_of_an_agent_that_has_stopped_are_kept_for_their_lease.

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -26,6 +26,19 @@
     GANG_INCOMPLETE = "alone"
 
 
+class AgentState(enum.Enum):
+    """What an agent says of itself.
+
+    `STOPPING`: it is about to stop; whether another one follows on the machine
+    isn't known. `STOPPED`: this is its last report, and it won't renew the
+    worker's lease any more.
+    """
+
+    SERVING = "serving"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+
+
 class IncarnationKey(msgspec.Struct, frozen=True, array_like=True):
     """Identifies one incarnation (process start) of a worker.
 
@@ -145,8 +158,7 @@
         reachable: whether the worker accepted the latest connection.
         crashes: incarnations on the machine that ended without notice while
             this agent served them.
-        agent_stopping: the agent is about to stop; whether another one follows
-            on the machine isn't known.
+        agent_state: what the agent says of itself.
     """
 
     incarnation: WorkerIncarnation
@@ -157,4 +169,4 @@
     terminated: bool = False
     crashes: tuple[Crash, ...] = ()
     reachable: bool = True
-    agent_stopping: bool = False
+    agent_state: AgentState = AgentState.SERVING
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -198,7 +198,7 @@
         worker = self._get_or_add_worker(key)
         self._update_incarnation(worker, agent, observation.incarnation)
         worker.reachable = observation.reachable
-        worker.agent_stopping = observation.agent_stopping
+        worker.agent_state = observation.agent_state
         self._apply_reported_runs(worker, observation)
         if not worker.reachable:
             self._stop_incomplete_gangs(worker)
@@ -523,7 +523,10 @@
 
     def _unrenewed_until_s(self, worker: fleet.TrackedWorker) -> float:
         """Returns when its lease expires if no other agent renews it."""
-        return worker.last_report_s + ORDER_VALIDITY_S + self._expired_after_s
+        orders_valid_s = ORDER_VALIDITY_S
+        if worker.agent_state is runs.AgentState.STOPPED:
+            orders_valid_s = 0.0
+        return worker.last_report_s + orders_valid_s + self._expired_after_s
 
     def on_answered(self, agent: types.Address) -> None:
         """Notes that orders answer a report that names no worker.
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -46,7 +46,7 @@
             to the worker as an acknowledgement.
         used: resources reserved by tracked and untracked runs.
         reachable: whether its agent could connect to it lately.
-        agent_stopping: whether its agent is about to stop.
+        agent_state: what its agent said last of itself.
     """
 
     key: runs.IncarnationKey
@@ -69,7 +69,7 @@
     acknowledged_end: int = 0
     used: model.Resources = model.NO_RESOURCES
     reachable: bool = True
-    agent_stopping: bool = False
+    agent_state: runs.AgentState = runs.AgentState.SERVING
     health: health_lib.Health = dataclasses.field(
         default_factory=health_lib.Health
     )
@@ -116,7 +116,7 @@
             self.incarnation is not None
             and not self.incarnation.draining
             and self.reachable
-            and not self.agent_stopping
+            and self.agent_state is runs.AgentState.SERVING
             and now_s - self.last_report_s <= MAX_REPORT_AGE_S
             and self.health.usable(now_s)
         )
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import document_source
 from pimentobridge.daemons import logs
@@ -23,7 +24,6 @@
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
-    from pimentobridge.core.jobs import runs
     from pimentobridge.platform import boot_settings
     from pimentobridge.platform import heartbeats
     from pimentobridge.platform import kv_store
@@ -85,7 +85,7 @@
         self._started_runs = started_runs.StartedRuns()
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
-        self._stopping = False
+        self._state = runs.AgentState.SERVING
         self._started_s = clock.monotonic()
         self._view = self._new_view()
 
@@ -126,7 +126,7 @@
         The worker gets no new tasks from then on, and entries get the
         configuration from another source.
         """
-        self._stopping = True
+        self._state = runs.AgentState.STOPPING
         self._wake_report.set()
         self._configuration_source.server.announce_shutdown()
 
@@ -288,6 +288,8 @@
 
         Their age counts from the report that they answer.
         """
+        if self._state is runs.AgentState.STOPPED:
+            return False
         age_s = self._clock.monotonic() - self._answered_s
         return self._answered_s > 0 and age_s < engine.ORDER_VALIDITY_S
 
@@ -497,7 +499,7 @@
             observation = self._view.observation(
                 self._worker,
                 crashes=self._started_runs.crashes,
-                agent_stopping=self._stopping,
+                agent_state=self._state,
             )
         now_s = self._clock.monotonic()
         report = control.WorkerReport(
@@ -509,7 +511,9 @@
         )
         self._reports.send(report)
 
-    async def extend_lease(self) -> None:
-        """Renews the lease to its maximum, before this agent stops."""
+    async def leave(self) -> None:
+        """Renews the lease to its maximum for the last time, and says so."""
         if self._worker is not None and self._may_act():
             await self._poll(0.0)
+        self._state = runs.AgentState.STOPPED
+        self._report()
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -75,7 +75,7 @@
         logs.event("stopping", grace_s=settings.grace_s)
         await agent.finish_runs(settings.grace_s - KILL_MARGIN_S)
         with trio.move_on_after(http_server.CLOSE_TIMEOUT_S):
-            await agent.extend_lease()
+            await agent.leave()
             await _withdraw(store, address)
         logs.event("stopped")
         nursery.cancel_scope.cancel()
--- a/pimentobridge/daemons/worker_view.py
+++ b/pimentobridge/daemons/worker_view.py
@@ -93,14 +93,14 @@
         incarnation: runs.WorkerIncarnation,
         *,
         crashes: tuple[runs.Crash, ...],
-        agent_stopping: bool,
+        agent_state: runs.AgentState,
     ) -> runs.Observation:
         """Returns the report on the worker.
 
         Args:
             incarnation: what it says of itself.
             crashes: incarnations on the machine that ended without notice.
-            agent_stopping: whether the agent is about to stop.
+            agent_state: what the agent says of itself.
         """
         return runs.Observation(
             incarnation=incarnation,
@@ -111,5 +111,5 @@
             terminated=self.contact.ended,
             crashes=crashes,
             reachable=self.contact.reachable,
-            agent_stopping=agent_stopping,
+            agent_state=agent_state,
         )
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -238,7 +238,7 @@
             self.agent.announce_shutdown()
             await self.agent.finish_runs(AGENT_FINISH_S)
         if self.agent is not None:
-            await self.agent.extend_lease()
+            await self.agent.leave()
         self.kill()
 
     async def terminate_for_good(self) -> None:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -115,7 +115,7 @@
 
 def test_a_worker_whose_agent_stops_gets_no_new_tasks() -> None:
     harness = engine_harness.EngineHarness(1)
-    harness.observe(0, agent_stopping=True)
+    harness.observe(0, agent_state=runs.AgentState.STOPPING)
     assert engine_harness.started(harness.submit(engine_harness.job())) == []
     harness.observe(0)
     assert len(engine_harness.started(harness.submit())) == 1
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -76,6 +76,19 @@
     return silent_s
 
 
+def test_runs_of_an_agent_that_has_stopped_are_kept_for_their_lease() -> None:
+    harness = engine_harness.EngineHarness(1)
+    ((_, key),) = engine_harness.started(harness.submit(engine_harness.job()))
+    harness.observe(
+        0,
+        running=engine_harness.running(key),
+        agent_state=runs.AgentState.STOPPED,
+    )
+    lost_s = _time_until_lost_s(harness)
+    assert lost_s > engine_harness.MAX_LEASE_S * 1.02
+    assert lost_s < engine_harness.MAX_LEASE_S + engine_lib.ORDER_VALIDITY_S
+
+
 # Guards against TWICE: a lease that an agent had renewed before its first
 # report on the worker counted from the last report of its predecessor.
 def test_a_lease_counts_from_orders_that_a_new_agent_has_got() -> None:
