Don't run passes that request each other without time passing

On a real clock it spins for some microseconds. Change: a requested pass comes 10 ms later at the earliest, and one due within 1 ms is due; the client of the configuration uses the same resolution.

--- a/pimentobridge/core/clock.py
+++ b/pimentobridge/core/clock.py
@@ -5,6 +5,9 @@
 import datetime
 from typing import Protocol
 
+# Differences of times that are smaller than this are due to rounding.
+RESOLUTION_S = 0.001
+
 
 class Clock(Protocol):
     """Source of monotonic and wall-clock time."""
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from pimentobridge.core import clock as clock_lib
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
@@ -22,7 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
     from pimentobridge.core.jobs import configuration
 
@@ -37,6 +37,8 @@
 # Margin for rounding and for calls in transit between an agent and its worker,
 # which are on the same machine.
 LEASE_SLACK_S = 0.5
+# Minimum time from a request for a pass to the pass.
+MIN_PASS_INTERVAL_S = 0.01
 
 
 class Engine:
@@ -542,8 +544,12 @@
                 worker.last_answer_s = now_s
 
     def request_pass_at(self, time_s: float) -> None:
-        """Requests a scheduling pass at a monotonic time, if not before."""
-        self._pass_due_s = min(self._pass_due_s, time_s)
+        """Requests a scheduling pass at a monotonic time, if not before.
+
+        Passes don't follow each other sooner than `MIN_PASS_INTERVAL_S`.
+        """
+        earliest_s = self._clock.monotonic() + MIN_PASS_INTERVAL_S
+        self._pass_due_s = min(self._pass_due_s, max(time_s, earliest_s))
 
     @property
     def time_to_due_pass_s(self) -> float:
@@ -552,7 +558,7 @@
 
     def request_due_pass(self) -> None:
         """Requests the pass that is due by now, if any."""
-        if self._clock.monotonic() >= self._pass_due_s:
+        if self.time_to_due_pass_s <= clock_lib.RESOLUTION_S:
             self._pass_due_s = float("inf")
             self.needs_pass = True
 
--- a/pimentobridge/daemons/document_client.py
+++ b/pimentobridge/daemons/document_client.py
@@ -8,6 +8,7 @@
 import trio
 import xxhash
 
+from pimentobridge.core import clock as clock_lib
 from pimentobridge.daemons import logs
 from pimentobridge.platform import kv_store
 from pimentobridge.protocol import documents
@@ -15,7 +16,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
     from pimentobridge.daemons import document as document_lib
     from pimentobridge.protocol import transport
@@ -24,7 +24,6 @@
 # A source that hasn't answered a query for this time is replaced. A part takes
 # a fifth of it on an idle link of 5 Mbit/s; one that comes later is taken, too.
 ANSWER_TIMEOUT_S = 0.5
-CLOCK_RESOLUTION_S = 0.001
 # A source that has answered within this time is taken to be there.
 ANSWER_VALIDITY_S = 1.0
 # Other sources that are asked whether they are there when one was silent.
@@ -146,7 +145,7 @@
     def _ask(self) -> None:
         now_s = self._clock.monotonic()
         if self._queried_s is not None:
-            if self._time_to_timeout_s > CLOCK_RESOLUTION_S:
+            if self._time_to_timeout_s > clock_lib.RESOLUTION_S:
                 return
             self._replace_source("silent")
             self._probe_others()
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -4,6 +4,7 @@
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import engine as engine_lib
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import reclaim
 from pimentobridge.testing import engine_harness
@@ -231,3 +232,18 @@
         harness.plan()
         harness.clock.advance(0.7)
     assert harness.jobs_being_stopped() == {"c" * 16}
+
+
+# Guards against a busy loop: what was left of a job's wait was smaller than
+# the clock's resolution, so the pass asked for the next one without end.
+def test_a_pass_that_is_requested_for_now_does_not_follow_at_once() -> None:
+    harness = engine_harness.EngineHarness(1)
+    now_s = harness.clock.monotonic()
+    harness.engine.needs_pass = False
+    harness.engine.request_pass_at(now_s + 1e-16)
+    harness.engine.request_due_pass()
+    assert not harness.engine.needs_pass
+    assert harness.engine.time_to_due_pass_s > 0.0
+    harness.clock.advance(engine_lib.MIN_PASS_INTERVAL_S - 1e-12)
+    harness.engine.request_due_pass()
+    assert harness.engine.needs_pass
