--- a/pimentobridge/core/scheduling/crashes.py
+++ b/pimentobridge/core/scheduling/crashes.py
@@ -11,6 +11,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
     from pimentobridge.core import types
     from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import fleet
@@ -25,6 +29,42 @@
 MAX_CRASHES = 3
 
 
+def count_under(
+    worker: fleet.TrackedWorker,
+    machine: types.Address,
+    reported: Iterable[runs.Crash],
+    log: Callable[..., None],
+) -> Iterator[tuple[ledger.RunEntry, list[types.Address]]]:
+    """Counts a worker's crash under the runs that may have caused it.
+
+    Args:
+        worker: an incarnation that has ended, with the runs that it had.
+        machine: address of the agent on the machine.
+        reported: crashes that the agent reports, also of other incarnations.
+        log: writes a log line, given an event text and fields.
+
+    Yields:
+        Each such run, and the machines on which the worker has crashed under
+        its task, one for each crash.
+    """
+    for crash in reported:
+        if crash.incarnation != worker.key:
+            continue
+        for entry in culprits(worker, crash):
+            machines = count(entry, machine)
+            log(
+                "worker crashed under task",
+                job=entry.tracked.id,
+                task=str(entry.name),
+                run=entry.run,
+                worker=worker.key.worker,
+                crashes=len(machines),
+                machines=len(set(machines)),
+                worked_s=round(entry.observed.worked_s, 2),
+            )
+            yield entry, machines
+
+
 def culprits(
     worker: fleet.TrackedWorker, crash: runs.Crash
 ) -> list[ledger.RunEntry]:
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -9,7 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-from pimentobridge.core import clock as clock_lib
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
@@ -18,11 +17,14 @@
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
+from pimentobridge.core.scheduling import lease_expiry
 from pimentobridge.core.scheduling import ledger
+from pimentobridge.core.scheduling import pass_requests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
     from pimentobridge.core.jobs import configuration
 
@@ -37,8 +39,6 @@
 # Margin for rounding and for calls in transit between an agent and its worker,
 # which are on the same machine.
 LEASE_SLACK_S = 0.5
-# Minimum time from a request for a pass to the pass.
-MIN_PASS_INTERVAL_S = 0.01
 
 
 class Engine:
@@ -55,6 +55,7 @@
         incarnation_by_agent: the incarnation that each agent last reported.
         dirty_by_id: jobs with changes that aren't recorded in the store yet.
         needs_pass: a scheduling pass of the planner is due.
+        passes: requests for passes at a time.
     """
 
     def __init__(
@@ -67,9 +68,9 @@
         self._clock = clock
         self._log = log
         self._started_s = clock.monotonic()
-        # Time from the last renewal until the lease must have expired.
-        self._expired_after_s = (
-            max_lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_SLACK_S
+        self._leases = lease_expiry.LeaseExpiry(
+            orders_valid_s=ORDER_VALIDITY_S,
+            lease_s=max_lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_SLACK_S,
         )
         self.jobs_by_id: dict[types.JobId, ledger.TrackedJob] = {}
         self.workers_by_incarnation: dict[
@@ -78,7 +79,7 @@
         self.incarnation_by_agent: dict[types.Address, runs.IncarnationKey] = {}
         self.dirty_by_id: dict[types.JobId, ledger.TrackedJob] = {}
         self.configuration: configuration.JobConfiguration | None = None
-        self._pass_due_s = float("inf")
+        self.passes = pass_requests.PassRequests(clock)
         self.needs_pass = True
         self.advice = advice_lib.AdviceCache()
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
@@ -203,12 +204,19 @@
         worker.agent_state = observation.agent_state
         self._apply_reported_runs(worker, observation)
         if not worker.reachable:
-            self._stop_incomplete_gangs(worker)
+            gangs.stop_incomplete(
+                worker, self.workers_by_incarnation, self._log
+            )
         if observation.terminated:
             self._count_crashes(worker, agent, observation)
             self._remove_incarnation(key, "incarnation ended")
         elif observation.incarnation.draining:
-            self._evacuate(worker)
+            evacuation.evacuate(
+                worker,
+                self.workers_by_incarnation,
+                self._clock.monotonic(),
+                self._log,
+            )
 
     def _update_incarnation(
         self,
@@ -259,37 +267,6 @@
             self.advice.drop_ticket(step, worker.key)
         self._release_run(worker, refused, "start refused")
 
-    def _stop_incomplete_gangs(self, worker: fleet.TrackedWorker) -> None:
-        """Stops gangs that would wait in vain for a member to start."""
-        for entry in gangs.runs_of_incomplete_gangs(
-            worker, self.workers_by_incarnation
-        ):
-            entry.stop_requested = True
-            self._log(
-                "incomplete gang stopped",
-                job=entry.tracked.id,
-                task=str(entry.name),
-                run=entry.run,
-                unreachable_worker=worker.key.worker,
-            )
-
-    def _evacuate(self, worker: fleet.TrackedWorker) -> None:
-        """Stops runs so that they start again on other workers."""
-        for entry in evacuation.runs_to_move(
-            worker, self.workers_by_incarnation, self._clock.monotonic()
-        ):
-            entry.stop_requested = True
-            self._log(
-                "run moved",
-                job=entry.tracked.id,
-                task=str(entry.name),
-                run=entry.run,
-                worker=worker.key.worker,
-                leaves_in_s=worker.incarnation
-                and worker.incarnation.leaves_in_s,
-            )
-        worker.evacuated = True
-
     def _remove_replaced_incarnations(
         self, agent: types.Address, observation: runs.Observation
     ) -> None:
@@ -310,28 +287,9 @@
         observation: runs.Observation,
     ) -> None:
         """Counts a crash of `worker` under the runs that may have caused it."""
-        for crash in observation.crashes:
-            if crash.incarnation == worker.key:
-                self._count_crash(worker, agent, crash)
-
-    def _count_crash(
-        self,
-        worker: fleet.TrackedWorker,
-        agent: types.Address,
-        crash: runs.Crash,
-    ) -> None:
-        for entry in crashes.culprits(worker, crash):
-            machines = crashes.count(entry, agent)
-            self._log(
-                "worker crashed under task",
-                job=entry.tracked.id,
-                task=str(entry.name),
-                run=entry.run,
-                worker=worker.key.worker,
-                crashes=len(machines),
-                machines=len(set(machines)),
-                worked_s=round(entry.observed.worked_s, 2),
-            )
+        for entry, machines in crashes.count_under(
+            worker, agent, observation.crashes, self._log
+        ):
             self.mark_changed(entry.tracked)
             if crashes.is_hopeless(machines) and not entry.tracked.state.ended:
                 self._end_job(entry.tracked, progress_lib.JobState.FAILED)
@@ -509,57 +467,26 @@
         """Removes the workers whose leases must have expired."""
         now_s = self._clock.monotonic()
         for key, worker in list(self.workers_by_incarnation.items()):
-            if now_s > self._expired_by_s(worker):
+            if now_s > self._leases.expired_by_s(worker):
                 self._remove_incarnation(
                     key, "no report until its lease expired"
                 )
                 if worker.agent is not None:
                     self.incarnation_by_agent.pop(worker.agent, None)
 
-    def _expired_by_s(self, worker: fleet.TrackedWorker) -> float:
-        """Returns the monotonic time by which its lease must have expired."""
-        return max(
-            self._unrenewed_until_s(worker),
-            worker.last_answer_s + ORDER_VALIDITY_S + self._expired_after_s,
-        )
-
-    def _unrenewed_until_s(self, worker: fleet.TrackedWorker) -> float:
-        """Returns when its lease expires if no other agent renews it."""
-        orders_valid_s = ORDER_VALIDITY_S
-        if worker.agent_state is runs.AgentState.STOPPED:
-            orders_valid_s = 0.0
-        return worker.last_report_s + orders_valid_s + self._expired_after_s
-
     def on_answered(self, agent: types.Address) -> None:
         """Notes that orders answer a report that names no worker.
 
         The agent has just started and may renew the lease of its worker before
-        it reports on it, unless the lease has expired by then.
+        it reports on it.
         """
-        now_s = self._clock.monotonic()
         for worker in self.workers_by_incarnation.values():
-            if worker.agent == agent and (
-                now_s <= self._unrenewed_until_s(worker)
-            ):
-                worker.last_answer_s = now_s
-
-    def request_pass_at(self, time_s: float) -> None:
-        """Requests a scheduling pass at a monotonic time, if not before.
-
-        Passes don't follow each other sooner than `MIN_PASS_INTERVAL_S`.
-        """
-        earliest_s = self._clock.monotonic() + MIN_PASS_INTERVAL_S
-        self._pass_due_s = min(self._pass_due_s, max(time_s, earliest_s))
-
-    @property
-    def time_to_due_pass_s(self) -> float:
-        """Time until the requested pass is due; infinity if none is."""
-        return max(0.0, self._pass_due_s - self._clock.monotonic())
+            if worker.agent == agent:
+                self._leases.on_answered(worker, self._clock.monotonic())
 
     def request_due_pass(self) -> None:
         """Requests the pass that is due by now, if any."""
-        if self.time_to_due_pass_s <= clock_lib.RESOLUTION_S:
-            self._pass_due_s = float("inf")
+        if self.passes.take_due():
             self.needs_pass = True
 
     def detect_placeable_changes(self) -> None:
--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -1,4 +1,4 @@
-"""Selects the runs to move off a worker that is about to shut down."""
+"""Moves runs off a worker that is about to shut down."""
 
 from __future__ import annotations
 
@@ -8,13 +8,42 @@
 from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import fleet
 
 
-def runs_to_move(
+def evacuate(
+    worker: fleet.TrackedWorker,
+    workers_by_incarnation: Mapping[runs.IncarnationKey, fleet.TrackedWorker],
+    now_s: float,
+    log: Callable[..., None],
+) -> None:
+    """Stops runs so that they start again on other workers.
+
+    Args:
+        worker: the worker, which is draining.
+        workers_by_incarnation: the workers on which other members of gangs
+            may be.
+        now_s: current monotonic time.
+        log: writes a log line, given an event text and fields.
+    """
+    for entry in _runs_to_move(worker, workers_by_incarnation, now_s):
+        entry.stop_requested = True
+        log(
+            "run moved",
+            job=entry.tracked.id,
+            task=str(entry.name),
+            run=entry.run,
+            worker=worker.key.worker,
+            leaves_in_s=worker.incarnation and worker.incarnation.leaves_in_s,
+        )
+    worker.evacuated = True
+
+
+def _runs_to_move(
     worker: fleet.TrackedWorker,
     workers_by_incarnation: Mapping[runs.IncarnationKey, fleet.TrackedWorker],
     now_s: float,
@@ -25,11 +54,6 @@
     worker drains, those that aren't expected to end before it may shut down.
     All members of a gang are returned: one that loses a member has to start
     again as a whole.
-
-    Args:
-        worker: the worker, which is draining.
-        workers_by_incarnation: the workers on which the other members may be.
-        now_s: current monotonic time.
     """
     leaves_in_s = None
     if worker.incarnation is not None and not worker.evacuated:
--- a/pimentobridge/core/scheduling/gangs.py
+++ b/pimentobridge/core/scheduling/gangs.py
@@ -8,6 +8,7 @@
 from pimentobridge.core.jobs import runs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
     from collections.abc import Mapping
 
@@ -37,28 +38,34 @@
                 yield member
 
 
-def runs_of_incomplete_gangs(
+def stop_incomplete(
     worker: fleet.TrackedWorker,
     workers_by_incarnation: Mapping[runs.IncarnationKey, fleet.TrackedWorker],
-) -> list[ledger.RunEntry]:
-    """Returns the runs of gangs of which a member can't start on a worker.
+    log: Callable[..., None],
+) -> None:
+    """Stops the gangs of which a member can't start on a worker.
 
-    The members that have started wait for it, and give up after a time. They
-    haven't begun to work, so a stop discards nothing.
+    The members that have started would wait for it, and give up after a time.
+    They haven't begun to work, so a stop discards nothing.
 
     Args:
         worker: the worker, which refuses connections.
         workers_by_incarnation: the workers on which the other members may be.
+        log: writes a log line, given an event text and fields.
     """
-    waiting: dict[runs.RunKey, ledger.RunEntry] = {}
     for entry in worker.entries_by_key.values():
-        if _can_not_start(entry, worker):
-            waiting |= {
-                member.key: member
-                for member in members_of(entry, workers_by_incarnation)
-                if not member.stop_requested
-            }
-    return list(waiting.values())
+        if not _can_not_start(entry, worker):
+            continue
+        for member in members_of(entry, workers_by_incarnation):
+            if not member.stop_requested:
+                member.stop_requested = True
+                log(
+                    "incomplete gang stopped",
+                    job=member.tracked.id,
+                    task=str(member.name),
+                    run=member.run,
+                    unreachable_worker=worker.key.worker,
+                )
 
 
 def _can_not_start(entry: ledger.RunEntry, worker: fleet.TrackedWorker) -> bool:
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -98,7 +98,7 @@
                     # they don't fit either.
                     break
         if self._waiting:
-            engine.request_pass_at(now_s + RETRY_INTERVAL_S)
+            engine.passes.request_at(now_s + RETRY_INTERVAL_S)
 
     def _hold(
         self,
--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -89,7 +89,7 @@
                     guaranteed=guaranteed, waited_s=waited_s
                 )
                 if rise_s is not None:
-                    self._engine.request_pass_at(now_s + rise_s)
+                    self._engine.passes.request_at(now_s + rise_s)
                 if not guaranteed:
                     return False
         # Reserves the resources being freed, so that jobs of lower rank don't
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -149,7 +149,7 @@
                 wait_s = STEP_INTERVAL_S
                 if self._leadership.is_leader:
                     self._run_step()
-                    wait_s = min(wait_s, self.engine.time_to_due_pass_s)
+                    wait_s = min(wait_s, self.engine.passes.time_to_due_s)
                 # At least half of the time is left for messages and calls.
                 await trio.sleep(trio.current_time() - started_s)
                 with trio.move_on_after(wait_s):
--- a/tests/test_pass_pacing.py
+++ b/tests/test_pass_pacing.py
@@ -79,7 +79,7 @@
             assert entry.scheduler is not None
             engine = entry.scheduler.engine
             due_s = trio.current_time() + 0.513
-            engine.request_pass_at(
+            engine.passes.request_at(
                 entry.scheduler.engine._clock.monotonic() + 0.513
             )
             await trio.sleep(0.7)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -4,7 +4,7 @@
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
-from pimentobridge.core.scheduling import engine as engine_lib
+from pimentobridge.core.scheduling import pass_requests
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import reclaim
 from pimentobridge.testing import engine_harness
@@ -240,10 +240,10 @@
     harness = engine_harness.EngineHarness(1)
     now_s = harness.clock.monotonic()
     harness.engine.needs_pass = False
-    harness.engine.request_pass_at(now_s + 1e-16)
+    harness.engine.passes.request_at(now_s + 1e-16)
     harness.engine.request_due_pass()
     assert not harness.engine.needs_pass
-    assert harness.engine.time_to_due_pass_s > 0.0
-    harness.clock.advance(engine_lib.MIN_PASS_INTERVAL_S - 1e-12)
+    assert harness.engine.passes.time_to_due_s > 0.0
+    harness.clock.advance(pass_requests.MIN_PASS_INTERVAL_S - 1e-12)
     harness.engine.request_due_pass()
     assert harness.engine.needs_pass
