--- a/pimentobridge/core/scheduling/gangs.py
+++ b/pimentobridge/core/scheduling/gangs.py
@@ -1,4 +1,4 @@
-"""Finds the members of a gang's run, and gangs that can't start completely."""
+"""Finds the members of a gang's run, and stops gangs that can't start."""
 
 from __future__ import annotations
 
--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -27,8 +27,6 @@
 # The balancer stops sending new connections after two failed health checks, a
 # second apart.
 BALANCER_DRAIN_S = 2.5
-# Time reserved for closing before the platform kills the process.
-KILL_MARGIN_S = 1.5
 
 
 def main(
@@ -93,7 +91,9 @@
         await platform_process.wait_for_stop()
         logs.event("draining")
         entry.draining = True
-        drain_s = min(BALANCER_DRAIN_S, settings.grace_s - KILL_MARGIN_S)
+        drain_s = min(
+            BALANCER_DRAIN_S, settings.grace_s - platform_process.KILL_MARGIN_S
+        )
         with trio.move_on_after(drain_s):
             await entry.leadership.resign()
             await trio.sleep_forever()
--- a/pimentobridge/daemons/platform_process.py
+++ b/pimentobridge/daemons/platform_process.py
@@ -17,6 +17,10 @@
     from pimentobridge.daemons import listening
     from pimentobridge.platform import boot_settings
 
+# Part of the grace period that is left for closing before the platform kills
+# the process.
+KILL_MARGIN_S = 1.5
+
 
 def run(
     serve: Callable[
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -25,8 +25,6 @@
     from pimentobridge.platform import boot_settings
 
 ANNOUNCE_RETRY_DELAY_S = 0.5
-# Part of the grace period that is left for the last calls.
-KILL_MARGIN_S = 1.5
 
 
 def main(
@@ -73,7 +71,9 @@
         await platform_process.wait_for_stop()
         agent.announce_shutdown()
         logs.event("stopping", grace_s=settings.grace_s)
-        await agent.finish_runs(settings.grace_s - KILL_MARGIN_S)
+        await agent.finish_runs(
+            settings.grace_s - platform_process.KILL_MARGIN_S
+        )
         with trio.move_on_after(http_server.CLOSE_TIMEOUT_S):
             await agent.leave()
             await _withdraw(store, address)
--- a/pimentobridge/lab/large_configuration.py
+++ b/pimentobridge/lab/large_configuration.py
@@ -21,8 +21,8 @@
 # When the agents that pass the configuration on leave, from the start of a
 # series: while nothing changes, and while the large version is passed on.
 SOURCE_LOSSES_S = (-1.2, 0.5, 1.7)
-# Agents that are left when most of them are killed at once, at the second of
-# these times of the last series.
+# Agents that are left when most of them are killed at once. That happens in
+# the last series, at the second of the times above.
 AGENTS_LEFT = 3
 # Time before a series in which nothing changes.
 CALM_S = 2.0
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -17,6 +17,7 @@
 from pimentobridge.daemons import job_api
 from pimentobridge.daemons import job_entry
 from pimentobridge.daemons import keys
+from pimentobridge.daemons import platform_process
 from pimentobridge.daemons import trio_clock
 from pimentobridge.daemons import worker_agent
 from pimentobridge.lab import checkers
@@ -49,8 +50,6 @@
 # The policy of the advised queues denies each step one worker in this many.
 DENY_ONE_IN = 3
 RESTART_DELAY_S = 0.6
-# Time for which an agent that is told to stop waits for runs about to end.
-AGENT_FINISH_S = 4.5
 # Time after which a runner that a task has crashed is back.
 RUNNER_RESTART_S = 2.0
 ENTRY_DRAIN_S = 2.5
@@ -236,7 +235,10 @@
         """Stops the agent as its process does; it is restarted afterwards."""
         if self.agent is not None:
             self.agent.announce_shutdown()
-            await self.agent.finish_runs(AGENT_FINISH_S)
+            grace_s = self._world.settings(self.node).grace_s
+            await self.agent.finish_runs(
+                grace_s - platform_process.KILL_MARGIN_S
+            )
         if self.agent is not None:
             await self.agent.leave()
         self.kill()
