Skip odd entries and messages of other writers instead of ending

Cause: msgspec raises RecursionError for deeply nested input and OverflowError when a decoded integer is too large to be encoded again; the decoders of heartbeats, submissions, the configuration and answers caught neither. Numbers had no bounds. Records of jobs, the leader's value and the addresses in the keys of agents and entries were taken as read: one odd entry ended each new scheduler, and ZeroMQ's connect raised for a malformed address.

Change: core/decoding decodes for all readers, with one typed error and bounds on numbers; daemons/unreadable logs each odd content once, with key, reason and digest. A job whose record or progress can't be read is set aside: it isn't started, nothing is deleted, and its callers get 504, neither 'accepted' nor 'not run'. A malformed leader's value is replaced, and a scheduler whose key has been replaced ends its term. Malformed addresses are skipped. The limits on jobs stand once, in model.problem_in. The tests of decoders that expected None for malformed input now expect the typed error, and that what was decoded can be encoded.

--- a/pimentobridge/core/jobs/model.py
+++ b/pimentobridge/core/jobs/model.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from pimentobridge.core import decoding
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
 
@@ -15,6 +16,7 @@
     from collections.abc import Iterable
 
 MAX_SPEC_BYTES = 4000
+MAX_TASKS = 100_000
 
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
@@ -140,6 +142,13 @@
             return self.request
         return Resources(0, self.request.memory_mib, self.request.accelerators)
 
+    @property
+    def unit_ranges(self) -> list[tuple[int, int]]:
+        """First task and number of tasks of each unit: a gang, or a task."""
+        if self.gang:
+            return [(0, self.count)]
+        return [(index, 1) for index in range(self.count)]
+
 
 class Job(msgspec.Struct, frozen=True, array_like=True):
     """A submitted job.
@@ -169,6 +178,36 @@
     cancelled: bool = False
 
 
+def problem_in(job: Job) -> str:
+    """Returns what is invalid in a job, or an empty text."""
+    size = len(job.spec.encode(errors="replace"))
+    if size > MAX_SPEC_BYTES:
+        return (
+            f"received a spec of {size} bytes; at most"
+            f" {MAX_SPEC_BYTES} are accepted."
+        )
+    if not job.steps:
+        return "received no steps; at least one is needed."
+    if sum(max(0, step.count) for step in job.steps) > MAX_TASKS:
+        return f"received too many tasks; at most {MAX_TASKS} are accepted."
+    for number, step in enumerate(job.steps):
+        if step.count < 1:
+            return f"received step {number} with no tasks; at least one."
+        amounts = (*msgspec.structs.astuple(step.request), step.max_per_worker)
+        if min(amounts) < 0:
+            return f"received a negative amount in step {number}."
+        if max(amounts) > decoding.MAX_INTEGER:
+            return f"received an amount out of range in step {number}."
+        if any(not 0 <= earlier < number for earlier in step.after):
+            return (
+                f"received step {number} after {step.after}; only earlier"
+                " steps can be named."
+            )
+    if job.occurrences < 0 or job.interval_ms < 0:
+        return "received a negative number of times or interval."
+    return ""
+
+
 class TaskName(NamedTuple):
     """Unique name of a task: JOB.OCCURRENCE.STEP.TASK as text."""
 
--- a/pimentobridge/core/jobs/progress.py
+++ b/pimentobridge/core/jobs/progress.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pimentobridge.core import decoding
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 
@@ -150,9 +151,7 @@
     """Returns an occurrence with all units waiting."""
     return Occurrence(
         [
-            [Unit(0, step.count)]
-            if step.gang
-            else [Unit(index, 1) for index in range(step.count)]
+            [Unit(first, size) for first, size in step.unit_ranges]
             for step in job.steps
         ]
     )
@@ -171,9 +170,14 @@
     """Decodes a submission from the store.
 
     Raises:
-        msgspec.MsgspecError: the data is malformed.
+        decoding.MalformedError: the data is malformed, or describes a job that
+            callers can't submit.
     """
-    return _job_decoder.decode(data)
+    job = decoding.decode(_job_decoder, data)
+    problem = model.problem_in(job)
+    if problem:
+        raise decoding.MalformedError(problem, data)
+    return job
 
 
 def encode_progress(progress: Progress) -> bytes:
@@ -181,10 +185,52 @@
     return msgspec.msgpack.encode(progress)
 
 
-def decode_progress(data: bytes) -> Progress:
+def decode_progress(data: bytes, job: model.Job) -> Progress:
     """Decodes a job's progress from the store.
 
+    Args:
+        data: the record.
+        job: the submission that the record belongs to.
+
     Raises:
-        msgspec.MsgspecError: the data is malformed.
+        decoding.MalformedError: the data is malformed, or doesn't match the
+            job's steps.
     """
-    return _progress_decoder.decode(data)
+    progress = decoding.decode(_progress_decoder, data)
+    if not all(
+        _matches(occurrence, job)
+        for occurrence in progress.occurrences_by_number.values()
+    ):
+        raise decoding.MalformedError(
+            "the units don't match the job's steps", data
+        )
+    return progress
+
+
+def _matches(occurrence: Occurrence, job: model.Job) -> bool:
+    """Returns whether the units are those of the job's steps."""
+    if len(occurrence.steps) != len(job.steps):
+        return False
+    return all(
+        [(unit.first, unit.size) for unit in units] == step.unit_ranges
+        and all(_has_valid_placements(unit) for unit in units)
+        for units, step in zip(occurrence.steps, job.steps, strict=True)
+    )
+
+
+def _has_valid_placements(unit: Unit) -> bool:
+    """Returns whether each member of a started unit has a placement."""
+    expected = (
+        unit.size
+        if unit.status in (UnitStatus.ACTIVE, UnitStatus.ENDING)
+        else len(unit.placements)
+    )
+    return (
+        len(unit.placements) == expected
+        and 0 <= unit.run <= decoding.MAX_INTEGER
+        and 0 <= unit.failures <= decoding.MAX_INTEGER
+        and all(
+            0 <= placed.started_ms <= decoding.MAX_INTEGER
+            for placed in unit.placements
+        )
+    )
--- a/pimentobridge/daemons/configuration_follower.py
+++ b/pimentobridge/daemons/configuration_follower.py
@@ -111,9 +111,11 @@
         for key, item in self._items_by_key().items():
             if key.startswith(keys.AGENTS):
                 is_near = item.value == keys.agent_value(self._region)
-                (near if is_near else far).append(keys.address_of(key))
+                (near if is_near else far).extend(
+                    keys.addresses_in([key], keys.AGENTS)
+                )
             elif key.startswith(keys.ENTRIES):
-                entries.append(keys.address_of(key))
+                entries.extend(keys.addresses_in([key], keys.ENTRIES))
         return self._in_turns(near, far, entries)
 
     def _in_turns(
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -7,9 +7,11 @@
 import result
 import trio
 
+from pimentobridge.core import decoding
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import configuration_follower
 from pimentobridge.daemons import handover
+from pimentobridge.daemons import job_items
 from pimentobridge.daemons import job_writer
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import leadership as leadership_lib
@@ -17,6 +19,7 @@
 from pimentobridge.daemons import mirror_sharing
 from pimentobridge.daemons import scheduling
 from pimentobridge.daemons import store_mirror
+from pimentobridge.daemons import unreadable
 from pimentobridge.daemons import write_relay
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import operator_configuration
@@ -146,11 +149,7 @@
     def entries(self) -> tuple[types.Address, ...]:
         """Returns the addresses of all announced entries."""
         return tuple(
-            sorted(
-                keys.address_of(key)
-                for key in self.mirror.items_by_key
-                if key.startswith(keys.ENTRIES)
-            )
+            sorted(keys.addresses_in(self.mirror.items_by_key, keys.ENTRIES))
         )
 
     def _peers(self) -> list[types.Address]:
@@ -246,11 +245,13 @@
             item = self.mirror.items_by_key.get(key)
         if item.value is None:
             return control.WriteOutcome.ABSENT
-        job = progress_lib.decode_job(item.value)
-        record = self.mirror.items_by_key.get(keys.progress(job_id))
-        state = progress_lib.JobState.QUEUED
-        if record is not None and record.value is not None:
-            state = progress_lib.decode_progress(record.value).state
+        job = job_items.read_job(item)
+        if job is None:
+            return control.WriteOutcome.UNKNOWN
+        recorded = job_items.read_progress(self.mirror.items_by_key, job)
+        if recorded is None:
+            return control.WriteOutcome.UNKNOWN
+        state = recorded[0].state
         if job.cancelled and not state.ended:
             return progress_lib.JobState.CANCELLED
         return state
@@ -261,17 +262,14 @@
             return self.scheduler.pending_by_queue().get(queue, 0)
         count = 0
         for key, item in self.mirror.items_by_key.items():
-            if not key.startswith(keys.JOBS) or item.value is None:
+            if not key.startswith(keys.JOBS):
                 continue
-            job = progress_lib.decode_job(item.value)
-            if job.queue.name != queue or job.cancelled:
+            job = job_items.read_job(item)
+            if job is None or job.queue.name != queue or job.cancelled:
                 continue
-            record = self.mirror.items_by_key.get(keys.progress(job.id))
-            if record is None or record.value is None:
-                count += 1
-                continue
-            progress = progress_lib.decode_progress(record.value)
-            count += progress.state is progress_lib.JobState.QUEUED
+            recorded = job_items.read_progress(self.mirror.items_by_key, job)
+            if recorded is not None:
+                count += recorded[0].state is progress_lib.JobState.QUEUED
         return count
 
     # Messages from agents and other entries.
@@ -335,16 +333,17 @@
             if item.value is None:
                 scheduler.engine.forget_job(keys.job_id_of(item.key))
             else:
-                scheduler.put_job(progress_lib.decode_job(item.value))
+                scheduling.load_job(scheduler, item, self.mirror.items_by_key)
         elif item.key.startswith(keys.AGENTS) and item.value is not None:
-            scheduler.add_agent(keys.address_of(item.key))
+            scheduler.add_agent_of(item.key)
 
     def _on_configuration_item(self, item: kv_store.Item) -> None:
         if item.value is None:
             return
-        document = operator_configuration.decode(item.value)
-        if document is None:
-            logs.event("configuration unreadable", revision=item.revision)
+        try:
+            document = operator_configuration.decode(item.value)
+        except decoding.MalformedError as error:
+            unreadable.log_skipped(item.key, error)
             return
         current = self.configuration
         if current is not None and current.version >= document.version:
--- a/pimentobridge/daemons/job_writer.py
+++ b/pimentobridge/daemons/job_writer.py
@@ -9,6 +9,7 @@
 import trio
 
 from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.daemons import job_items
 from pimentobridge.daemons import keys
 from pimentobridge.platform import kv_store
 from pimentobridge.protocol import control
@@ -103,8 +104,9 @@
             job_id: the job to write.
             value: the submission; None to cancel the job.
         """
-        if value is not None and keys.job(job_id) in self._mirror.items_by_key:
-            return control.WriteOutcome.WRITTEN
+        stored = self._mirror.items_by_key.get(keys.job(job_id))
+        if value is not None and stored is not None:
+            return _outcome_of(stored)
         if self._store.unavailable:
             return control.WriteOutcome.NOT_WRITTEN
         if value is None:
@@ -116,15 +118,19 @@
     ) -> control.WriteOutcome:
         """Writes a submission if the stored one is at `revision`.
 
-        A conflict counts as written: somebody else has made the same change.
+        A conflict counts as written: somebody else has made the same change,
+        unless what is stored can't be read.
         """
         key = keys.job(job_id)
         written = await self._store.transact(
             expected={key: revision}, puts=[kv_store.Put(key, value)]
         )
         if isinstance(written, result.Ok):
-            if isinstance(written.ok_value, int):
-                self._mirror.offer(kv_store.Item(key, value, written.ok_value))
+            outcome = written.ok_value
+            if isinstance(outcome, int):
+                self._mirror.offer(kv_store.Item(key, value, outcome))
+            elif key in outcome.items_by_key:
+                return _outcome_of(outcome.items_by_key[key])
             return control.WriteOutcome.WRITTEN
         if written.err_value is kv_store.StoreError.REFUSED:
             return control.WriteOutcome.NOT_WRITTEN
@@ -139,7 +145,9 @@
         item = response.ok_value
         if item is None or item.value is None:
             return control.WriteOutcome.ABSENT
-        job = progress_lib.decode_job(item.value)
+        job = job_items.read_job(item)
+        if job is None:
+            return control.WriteOutcome.UNKNOWN
         if job.cancelled:
             return control.WriteOutcome.WRITTEN
         cancelled = msgspec.structs.replace(job, cancelled=True)
@@ -148,3 +156,10 @@
         return await self._put_submission(
             job_id, progress_lib.encode_job(cancelled), item.revision
         )
+
+
+def _outcome_of(stored: kv_store.Item) -> control.WriteOutcome:
+    """Returns what a caller is told of a job that is stored already."""
+    if job_items.read_job(stored) is None:
+        return control.WriteOutcome.UNKNOWN
+    return control.WriteOutcome.WRITTEN
--- a/pimentobridge/daemons/keys.py
+++ b/pimentobridge/daemons/keys.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+from pimentobridge.core import decoding
 from pimentobridge.core import types
+from pimentobridge.daemons import unreadable
+from pimentobridge.protocol import addresses
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 PREFIX = "pimentobridge/"
 LEADER = PREFIX + "leader"
@@ -42,6 +50,30 @@
     return ENTRIES + address
 
 
-def address_of(key: str) -> types.Address:
-    """Returns the address in the key of an agent or entry."""
-    return types.Address(key.split("/", 2)[2])
+def address_of(key: str) -> types.Address | None:
+    """Returns the address in the key of an agent or entry.
+
+    Returns None, and logs that once, if messages can't be sent there: another
+    writer may have left the key.
+    """
+    address = key.split("/", 2)[2]
+    if addresses.is_valid(address):
+        return types.Address(address)
+    unreadable.log_skipped(
+        key,
+        decoding.MalformedError(
+            "expected an address tcp://HOST:PORT", address.encode()
+        ),
+    )
+    return None
+
+
+def addresses_in(items: Iterable[str], prefix: str) -> list[types.Address]:
+    """Returns the addresses in the keys that start with a prefix.
+
+    Args:
+        items: keys of the store.
+        prefix: `AGENTS` or `ENTRIES`.
+    """
+    found = (address_of(key) for key in items if key.startswith(prefix))
+    return [address for address in found if address is not None]
--- a/pimentobridge/daemons/leadership.py
+++ b/pimentobridge/daemons/leadership.py
@@ -9,9 +9,12 @@
 import result
 import trio
 
+from pimentobridge.core import decoding
 from pimentobridge.core import types
 from pimentobridge.daemons import logs
+from pimentobridge.daemons import unreadable
 from pimentobridge.platform import kv_store
+from pimentobridge.protocol import addresses
 
 if TYPE_CHECKING:
     from pimentobridge.core import clock as clock_lib
@@ -117,7 +120,8 @@
         item = self._mirror.items_by_key.get(self._key)
         if item is None or item.value is None:
             return None
-        return _decode_holder(item.value).address
+        holder = _read_holder(item)
+        return holder.address if holder is not None else None
 
     async def run(self) -> None:
         """Takes part in elections and renews the lease until cancelled."""
@@ -125,6 +129,7 @@
             while True:
                 if self.token is not None:
                     await trio.sleep(LEASE_S / RENEWALS_PER_LEASE)
+                    self._end_term_if_replaced()
                     if self.token is not None:
                         # The last renewal may not be answered yet.
                         nursery.start_soon(self._renew, self._lease)
@@ -133,6 +138,15 @@
                     await self._try_election()
                 await trio.sleep(ELECTION_POLL_S)
 
+    def _end_term_if_replaced(self) -> None:
+        """Ends the term if another process has written the key since."""
+        item = self._mirror.items_by_key.get(self._key)
+        if self.token is None or item is None or item.revision <= self.token:
+            return
+        lease, self._lease = self._lease, 0
+        self._end_term(f"the key was replaced at revision {item.revision}")
+        logs.event("lease abandoned", lease=lease)
+
     async def resign(self) -> None:
         """Releases the key, so that another entry takes over at once.
 
@@ -167,13 +181,19 @@
             if self.holder is not None or self._must_defer():
                 return
             await self._acquire(kv_store.ABSENT)
-        elif item.value is not None and (
-            _decode_holder(item.value).address == self._address
-        ):
-            # This process listens at the holder's address, so the holder was
-            # an earlier incarnation of it.
+        elif item.value is not None and self._may_replace(item):
             await self._acquire(item.revision)
 
+    def _may_replace(self, item: kv_store.Item) -> bool:
+        """Returns whether the key's value is of no process that still runs.
+
+        A process that listens at this address was an earlier incarnation of
+        this one. A value that can't be read is of another writer, who has taken
+        the key from its holder; no lease would ever remove it.
+        """
+        holder = _read_holder(item)
+        return holder is None or holder.address == self._address
+
     def _must_defer(self) -> bool:
         """Returns whether this entry has resigned and must wait for others.
 
@@ -285,5 +305,20 @@
         changed.set()
 
 
-def _decode_holder(value: bytes) -> Holder:
-    return msgspec.json.decode(value, type=Holder)
+_decoder = msgspec.json.Decoder(Holder)
+
+
+def _read_holder(item: kv_store.Item) -> Holder | None:
+    """Returns the holder that an item names, or None if it can't be read."""
+    if item.value is None:
+        return None
+    try:
+        holder = decoding.decode(_decoder, item.value)
+        if not addresses.is_valid(holder.address):
+            raise decoding.MalformedError(
+                "expected an address tcp://HOST:PORT", item.value
+            )
+    except decoding.MalformedError as error:
+        unreadable.log_skipped(item.key, error)
+        return None
+    return holder
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -15,6 +15,7 @@
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import stalls
 from pimentobridge.daemons import advice as advice_lib
+from pimentobridge.daemons import job_items
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import recorder as recorder_lib
@@ -23,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
@@ -202,6 +204,12 @@
             self._links_by_agent[agent] = AgentLink(self._clock.monotonic())
             self._wake.set()
 
+    def add_agent_of(self, key: str) -> None:
+        """Starts sending orders to the agent that announced a key."""
+        agent = keys.address_of(key)
+        if agent is not None:
+            self.add_agent(agent)
+
     def on_report(self, report: control.WorkerReport) -> None:
         """Processes an agent's report and answers with orders.
 
@@ -364,14 +372,30 @@
         if item.value is None:
             continue
         if key.startswith(keys.AGENTS):
-            scheduler.add_agent(keys.address_of(key))
+            scheduler.add_agent_of(key)
         elif key.startswith(keys.JOBS):
-            record = items.get(keys.progress(keys.job_id_of(key)))
-            progress = None
-            if record is not None and record.value is not None:
-                progress = progress_lib.decode_progress(record.value)
-            scheduler.put_job(
-                progress_lib.decode_job(item.value),
-                progress,
-                revision=0 if record is None else record.revision,
-            )
+            load_job(scheduler, item, items)
+
+
+def load_job(
+    scheduler: Scheduler,
+    item: kv_store.Item,
+    items_by_key: Mapping[str, kv_store.Item],
+) -> None:
+    """Adds the job in an item to a scheduler, unless a record is unreadable.
+
+    A job whose progress can't be read may have run, so it isn't started.
+
+    Args:
+        scheduler: the scheduler.
+        item: the item of a submission.
+        items_by_key: the store's items, among them the job's progress.
+    """
+    job = job_items.read_job(item)
+    if job is None:
+        return
+    recorded = job_items.read_progress(items_by_key, job)
+    if recorded is None:
+        return
+    progress, revision = recorded
+    scheduler.put_job(job, progress, revision=revision)
--- a/pimentobridge/daemons/worker_api.py
+++ b/pimentobridge/daemons/worker_api.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from pimentobridge.core import decoding
 from pimentobridge.daemons import http
 from pimentobridge.daemons import logs
+from pimentobridge.daemons import unreadable
 from pimentobridge.platform import heartbeats
 
 if TYPE_CHECKING:
@@ -40,9 +42,10 @@
         worker, _, call = path[len(INSTANCES_PREFIX) :].partition("/")
         body = await http.read_body(receive)
         if call == HEARTBEAT:
-            heartbeat = heartbeats.decode(worker, body)
-            if heartbeat is None:
-                logs.event("heartbeat unreadable", worker=worker)
+            try:
+                heartbeat = heartbeats.decode(worker, body)
+            except decoding.MalformedError as error:
+                unreadable.log_skipped(f"heartbeat/{worker}", error)
                 return 400
             self._agent.on_heartbeat(heartbeat)
             return 200
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import base64
 from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
 from pimentobridge.lab import faulty_client
+from pimentobridge.platform import operator_configuration
+from pimentobridge.testing import odd_entries
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -270,6 +273,18 @@
     world.put_configuration(guaranteed=world.rng.randint(0, 16))
 
 
+async def _leave_odd_entries(world: world_lib.World, fault: Fault) -> None:
+    """Another writer leaves malformed entries and a malformed configuration."""
+    for key, value in odd_entries.values_by_key().items():
+        world.store.put(key, base64.b64encode(value).decode())
+    world.store.put(
+        operator_configuration.KEY,
+        base64.b64encode(odd_entries.NESTED_JSON).decode(),
+    )
+    await trio.sleep(fault.for_s)
+    world.put_configuration()
+
+
 _INJECTORS: dict[str, Callable[[world_lib.World, Fault], Awaitable[None]]] = {
     "store silent": _outage_injector(
         faulty_client.OutageMode.SILENT, pauses_lease_expiry=False
@@ -309,5 +324,6 @@
     "configuration changes": _change_configuration,
     "tasks crash their runners": _make_tasks_deadly,
     "capacity shrinks": _shrink_capacity,
+    "odd entries": _leave_odd_entries,
 }
 KINDS = tuple(sorted(_INJECTORS))
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -221,9 +221,7 @@
                     "clockMs": runner.clock_s * 1000,
                 }
             )
-            heartbeat = heartbeats.decode(runner.worker, body.encode())
-            if heartbeat is not None:
-                agent.on_heartbeat(heartbeat)
+            agent.on_heartbeat(heartbeats.decode(runner.worker, body.encode()))
             await trio.sleep(HEARTBEAT_INTERVAL_S)
 
     def kill(self) -> None:
--- a/pimentobridge/platform/advice.py
+++ b/pimentobridge/platform/advice.py
@@ -9,6 +9,7 @@
 
 import result
 
+from pimentobridge.core import decoding
 from pimentobridge.core import types
 from pimentobridge.core.scheduling import advice
 from pimentobridge.platform import http_client
@@ -67,7 +68,7 @@
                         types.WorkerId(str(worker)): str(ticket)
                         for worker, ticket in answer.body["good"]
                     },
-                    float(answer.body["validityMs"]) / 1000,
+                    decoding.number(answer.body["validityMs"]) / 1000,
                 )
             )
         except (KeyError, TypeError, ValueError):
--- a/pimentobridge/platform/heartbeats.py
+++ b/pimentobridge/platform/heartbeats.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from pimentobridge.core import decoding
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
@@ -12,9 +13,9 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int
-    memMb: int  # noqa: N815  wire name
-    gpu: int = 0
+    cpu: decoding.Count
+    memMb: decoding.Count  # noqa: N815  wire name
+    gpu: decoding.Count = 0
 
 
 class _Heartbeat(msgspec.Struct):
@@ -26,10 +27,10 @@
     state: str
     capacity: _Capacity
     labels: list[str]
-    sequence: int
-    born: int
-    clockMs: float = 0.0  # noqa: N815
-    remainingMs: float | None = None  # noqa: N815
+    sequence: decoding.Count
+    born: decoding.Count
+    clockMs: decoding.Milliseconds = 0.0  # noqa: N815
+    remainingMs: decoding.Milliseconds | None = None  # noqa: N815
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
@@ -51,14 +52,23 @@
 _decoder = msgspec.json.Decoder(_Heartbeat)
 
 
-def decode(worker: str, body: bytes) -> Heartbeat | None:
-    """Returns a heartbeat, or None if it is malformed or its state unknown."""
-    try:
-        wire = _decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+def decode(worker: str, body: bytes) -> Heartbeat:
+    """Returns a heartbeat.
+
+    Args:
+        worker: id of the worker that sent it.
+        body: body of the request.
+
+    Raises:
+        decoding.MalformedError: it is malformed, or its state is unknown.
+    """
+    wire = decoding.decode(_decoder, body)
     if wire.state not in ACCEPTED_STATES:
-        return None
+        raise decoding.MalformedError(
+            f"received state {wire.state!r:.40}; expected one of"
+            f" {', '.join(ACCEPTED_STATES)}",
+            body,
+        )
     labels = tuple(wire.labels)
     incarnation = runs.WorkerIncarnation(
         key=runs.IncarnationKey(types.WorkerId(worker), wire.born),
--- a/pimentobridge/platform/http_client.py
+++ b/pimentobridge/platform/http_client.py
@@ -6,10 +6,13 @@
 from typing import Any
 from typing import Protocol
 
+from absl import logging
 import httpcore
 import msgspec
 import trio
 
+from pimentobridge.core import decoding
+
 KEEP_ALIVE_S = 20.0
 CONNECT_TIMEOUT_S = 0.7
 MAX_CONNECTIONS = 16
@@ -166,10 +169,14 @@
         return b"".join(parts)
 
 
+_decoder = msgspec.json.Decoder(Any)
+
+
 def _decoded(content: bytes) -> dict[str, Any]:
     """Returns the JSON object in `content`, or an empty one if none."""
     try:
-        body = msgspec.json.decode(content) if content else {}
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        body = decoding.decode(_decoder, content) if content else {}
+    except decoding.MalformedError as error:
+        logging.warning("an answer was taken as empty: %s", error)
         return {}
     return body if isinstance(body, dict) else {}
--- a/pimentobridge/platform/kv_store.py
+++ b/pimentobridge/platform/kv_store.py
@@ -10,9 +10,11 @@
 from typing import Any
 import urllib.parse
 
+from absl import logging
 import msgspec
 import result
 
+from pimentobridge.core import decoding
 from pimentobridge.platform import http_client
 
 # Limit of the store on the conditions, writes and deletes of a transaction
@@ -355,9 +357,10 @@
         return Item(
             key=str(row["key"]),
             value=None if deleted else base64.b64decode(row["value"]),
-            revision=int(row["revision"]),
-            created=int(row.get("created", 0)),
-            lease=int(row.get("lease", 0)),
+            revision=decoding.integer(row["revision"]),
+            created=decoding.integer(row.get("created", 0)),
+            lease=decoding.integer(row.get("lease", 0)),
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        logging.warning("an item of the store was left out: %s", error)
         return None
--- a/pimentobridge/platform/operator_configuration.py
+++ b/pimentobridge/platform/operator_configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pimentobridge.core import decoding
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
 
@@ -14,9 +15,9 @@
 
 
 class _Advice(msgspec.Struct):
-    decisionMs: float = 0.0  # noqa: N815
-    eachMs: float = 0.0  # noqa: N815
-    validityMs: float = 0.0  # noqa: N815
+    decisionMs: decoding.Milliseconds = 0.0  # noqa: N815
+    eachMs: decoding.Milliseconds = 0.0  # noqa: N815
+    validityMs: decoding.Milliseconds = 0.0  # noqa: N815
 
 
 class _Route(msgspec.Struct):
@@ -24,11 +25,11 @@
     hostname: str
     prefix: str
     service: str
-    priority: int = 1
-    maxAttempts: int = 1  # noqa: N815  wire name
-    stretchFactor: float = 1.0  # noqa: N815
-    sloMs: float = 0.0  # noqa: N815
-    timeoutMs: float = 3000.0  # noqa: N815
+    priority: decoding.Integer = 1
+    maxAttempts: decoding.Integer = 1  # noqa: N815  wire name
+    stretchFactor: decoding.Number = 1.0  # noqa: N815
+    sloMs: decoding.Milliseconds = 0.0  # noqa: N815
+    timeoutMs: decoding.Milliseconds = 3000.0  # noqa: N815
     allowAnonymous: bool = False  # noqa: N815
     advice: _Advice | None = None
 
@@ -46,13 +47,13 @@
 
 
 class _Limits(msgspec.Struct):
-    maxBodyBytes: int = 262_144  # noqa: N815
+    maxBodyBytes: decoding.Count = 262_144  # noqa: N815
 
 
 class _Document(msgspec.Struct):
     """Wire format of the document; field names are the platform's."""
 
-    version: int
+    version: decoding.Integer
     routes: list[_Route]
     services: list[_Service]
     tenants: list[_Tenant] = []
@@ -62,12 +63,13 @@
 _decoder = msgspec.json.Decoder(_Document, strict=False)
 
 
-def decode(value: bytes) -> configuration.JobConfiguration | None:
-    """Returns the configuration, or None if the document is malformed."""
-    try:
-        wire = _decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+def decode(value: bytes) -> configuration.JobConfiguration:
+    """Returns the configuration that a document holds.
+
+    Raises:
+        decoding.MalformedError: the document is malformed.
+    """
+    wire = decoding.decode(_decoder, value)
     return configuration.JobConfiguration(
         version=wire.version,
         queues_by_name={route.name: _queue(route) for route in wire.routes},
@@ -117,6 +119,8 @@
         name=types.AccountName(tenant.name),
         keys=frozenset(tenant.apiKeys),
         guaranteed_accelerators=(
-            guaranteed if isinstance(guaranteed, int) else 0
+            min(guaranteed, decoding.MAX_INTEGER)
+            if isinstance(guaranteed, int)
+            else 0
         ),
     )
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from pimentobridge.core import decoding
 from pimentobridge.core.jobs import runs
 from pimentobridge.platform import http_client
 
@@ -247,20 +248,20 @@
 def _decoded_status(body: dict[str, Any]) -> RunnerStatus | PollFailure:
     try:
         return RunnerStatus(
-            clock_s=float(body["clockMs"]) / 1000,
-            born_ms=int(body.get("born", 0)),
+            clock_s=decoding.number(body["clockMs"]) / 1000,
+            born_ms=decoding.integer(body.get("born", 0)),
             running=tuple(
                 runs.RunningTask(
-                    runs.RunKey(str(row[0]), int(row[1])),
+                    runs.RunKey(str(row[0]), decoding.integer(row[1])),
                     str(row[2]),
-                    int(row[3]),
+                    decoding.integer(row[3]),
                 )
                 for row in body["running"]
             ),
             ended=tuple(
                 runs.EndedRun(
-                    int(row[0]),
-                    runs.RunKey(str(row[1]), int(row[2])),
+                    decoding.integer(row[0]),
+                    runs.RunKey(str(row[1]), decoding.integer(row[2])),
                     runs.EndCause(row[3]),
                     str(row[4]),
                 )
--- a/pimentobridge/protocol/zmq_transport.py
+++ b/pimentobridge/protocol/zmq_transport.py
@@ -10,6 +10,7 @@
 import trio
 import zmq
 
+from pimentobridge.protocol import addresses
 from pimentobridge.protocol import codec
 from pimentobridge.protocol import transport
 
@@ -24,6 +25,9 @@
 # which they are kept; older frames would be out of date on arrival.
 MAX_UNSENT_FRAMES = 16
 UNSENT_LIFETIME_S = 0.5
+# Limits on the remembered causes of drops and on a logged address.
+MAX_LOGGED_DROPS = 100
+MAX_LOGGED_ADDRESS = 200
 
 
 @dataclasses.dataclass
@@ -65,6 +69,7 @@
         self._pull.bind(listen)
         self._peers_by_address: dict[types.Address, _Peer] = {}
         self._addresses_with_unsent: set[types.Address] = set()
+        self._logged_drops: set[tuple[str, str]] = set()
         self._received: collections.deque[transport.Envelope] = (
             collections.deque()
         )
@@ -79,7 +84,13 @@
         return self._address
 
     def send(self, to: types.Address, message: messages.Message) -> None:
-        """Sends without waiting; the message may be lost."""
+        """Sends without waiting; the message may be lost.
+
+        A message to a malformed address is dropped.
+        """
+        if not addresses.is_valid(to):
+            self._drop(to, "expected an address tcp://HOST:PORT")
+            return
         self._peer(to).unsent.append(
             (trio.current_time(), codec.encode(self._address, message))
         )
@@ -162,12 +173,21 @@
         except zmq.Again:
             return False
         except zmq.ZMQError as error:
-            self.dropped_frames += 1
-            logging.warning("dropped a frame to %s: %s", to, error)
+            self._drop(to, str(error))
         else:
             self.sent_bytes += len(data)
         return True
 
+    def _drop(self, to: types.Address, reason: str) -> None:
+        """Counts a dropped frame, and logs the first one of each cause."""
+        self.dropped_frames += 1
+        cause = (to[:MAX_LOGGED_ADDRESS], reason)
+        if cause not in self._logged_drops:
+            if len(self._logged_drops) >= MAX_LOGGED_DROPS:
+                self._logged_drops.clear()
+            self._logged_drops.add(cause)
+            logging.warning("dropped a frame to %s: %s", *cause)
+
     def _peer(self, to: types.Address) -> _Peer:
         peer = self._peers_by_address.get(to)
         if peer is None:
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from typing import Any
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import msgspec
 import pytest
 import result
 import trio
 
+from pimentobridge.core import decoding
 from pimentobridge.core import errors
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.platform import advice
 from pimentobridge.platform import boot_settings
@@ -30,6 +34,7 @@
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
+    | strategies.sampled_from([10**30, -(10**30), 2**63, 1e300, float("inf")])
     | strategies.floats(allow_nan=False)
     | strategies.text(max_size=8),
     lambda inner: (
@@ -82,9 +87,12 @@
 
 @fuzz
 @given(body=mutations_of(HEARTBEAT))
-def test_heartbeat_decoder_never_raises(body: bytes) -> None:
-    heartbeat = heartbeats.decode("w", body)
-    assert heartbeat is None or heartbeat.incarnation.key.worker == "w"
+def test_heartbeat_decoder_raises_only_its_typed_error(body: bytes) -> None:
+    with contextlib.suppress(decoding.MalformedError):
+        heartbeat = heartbeats.decode("w", body)
+        assert heartbeat.incarnation.key.worker == "w"
+        # The agent sends it on to the scheduler.
+        assert msgspec.msgpack.encode(heartbeat)
 
 
 @fuzz
@@ -102,13 +110,20 @@
     if isinstance(decoded, result.Err):
         assert decoded.err_value.kind is errors.ErrorKind.INVALID_REQUEST
         assert decoded.err_value.remedy
+    else:
+        stored = progress_lib.encode_job(decoded.ok_value)
+        assert progress_lib.decode_job(stored) == decoded.ok_value
 
 
 @fuzz
 @given(body=mutations_of(DOCUMENT))
-def test_configuration_decoder_never_raises(body: bytes) -> None:
-    document = operator_configuration.decode(body)
-    assert document is None or document.queue_for("x", "/y") is None
+def test_configuration_decoder_raises_only_its_typed_error(
+    body: bytes,
+) -> None:
+    with contextlib.suppress(decoding.MalformedError):
+        document = operator_configuration.decode(body)
+        assert document.queue_for("x", "/y") is None
+        assert msgspec.msgpack.encode(document)
 
 
 @fuzz
@@ -196,7 +211,6 @@
     document = operator_configuration.decode(
         json.dumps({**DOCUMENT, "routes": [route]}).encode()
     )
-    assert document is not None
     queue = document.queues_by_name["r"]
     assert queue.advice == configuration.AdvicePolicy(0.05, 0.005, 3.0)
     assert queue.advice.time_for(30) == pytest.approx(0.2)
