Write logs to standard output without blocking

Cause: absl writes to standard error until its flags count as parsed, and this program never parses them. So every line went to standard error, without the rate limit, and a process whose logs nobody read stood still; the first line was a warning that isn't JSON.

Shown on the code before: of tests/test_logs.py both tests failed; a process that logs 20,000 lines into an unread pipe had not ended after 20 s. Both pass now.

tests/test_scheduling: the decoder of progress is given the job since the last change.

--- a/pimentobridge/daemons/logs.py
+++ b/pimentobridge/daemons/logs.py
@@ -12,6 +12,7 @@
 import time
 from typing import Any
 
+from absl import flags
 from absl import logging
 import msgspec
 
@@ -134,6 +135,9 @@
 
 def set_up(node: str, level: str = "info") -> None:
     """Directs the process's logs to standard output."""
+    # Until its flags count as parsed, absl writes to standard error and waits
+    # for its reader. This program has a command line of its own.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(node))
     logging.use_absl_handler()
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -308,7 +308,7 @@
     tracked = harness.engine.jobs_by_id[types.JobId("a" * 16)]
     assert tracked.id in harness.engine.dirty_by_id
     stored = progress_lib.decode_progress(
-        progress_lib.encode_progress(tracked.progress)
+        progress_lib.encode_progress(tracked.progress), tracked.job
     )
     assert next(stored.units())[2].checkpoint == "saved"
 
