Look at runs once in a pass, not for each waiting unit

Cause: for each waiting unit a pass walked all runs to find what is ending, which units may be preempted and which runs end next, and sorted them again; and it asked for a place after each victim although too few members fit.

Change: what ends, the victims by rank and the expected ends are found once in a pass and updated when a run is placed or stopped; the room that victims free is counted before a place is sought; eligible workers are found once for a service and label.

--- a/pimentobridge/core/jobs/model.py
+++ b/pimentobridge/core/jobs/model.py
@@ -50,16 +50,18 @@
 
     def copies_in(self, available: Resources) -> int:
         """Returns how many times this amount fits in `available`."""
-        counts = [
-            have // need
-            for have, need in zip(
-                msgspec.structs.astuple(available),
-                msgspec.structs.astuple(self),
-                strict=True,
-            )
-            if need > 0
-        ]
-        return max(0, min(counts, default=UNBOUNDED_COPIES))
+        # Written out, as a scheduling pass asks this of each worker for each
+        # waiting unit.
+        copies = None
+        if self.cpu_millicores > 0:
+            copies = available.cpu_millicores // self.cpu_millicores
+        if self.memory_mib > 0:
+            by_memory = available.memory_mib // self.memory_mib
+            copies = by_memory if copies is None else min(copies, by_memory)
+        if self.accelerators > 0:
+            by_count = available.accelerators // self.accelerators
+            copies = by_count if copies is None else min(copies, by_count)
+        return UNBOUNDED_COPIES if copies is None else max(0, copies)
 
     def dominant_share(self, capacity: Resources) -> float:
         """Returns the largest fraction taken of any resource in `capacity`."""
--- a/pimentobridge/core/scheduling/holds.py
+++ b/pimentobridge/core/scheduling/holds.py
@@ -66,27 +66,35 @@
 
 
 def earliest_assignment(
-    candidates: placement.Candidates, demand: placement.Demand, now_s: float
+    candidates: placement.Candidates,
+    demand: placement.Demand,
+    ends: ExpectedEnds,
 ) -> list[runs.IncarnationKey] | None:
     """Returns the workers on which a unit is expected to fit first.
 
     Args:
         candidates: workers that accept tasks, and their free resources.
         demand: requirements of the unit.
-        now_s: current monotonic time.
+        ends: the ends that are expected on these workers.
 
     Returns:
         A worker for each member, or None if the unit wouldn't fit even after
         the end of all runs.
     """
-    eligible = candidates.eligible(demand)
     free_by_key = dict(candidates.free_by_key)
     footprint = demand.step.footprint
-    slots = sum(footprint.copies_in(free_by_key[w.key]) for w in eligible)
-    for worker, entry in _by_expected_end(eligible, now_s):
-        before = footprint.copies_in(free_by_key[worker.key])
+    slots_by_key = {
+        worker.key: footprint.copies_in(free_by_key[worker.key])
+        for worker in candidates.eligible(demand)
+    }
+    slots = sum(slots_by_key.values())
+    for worker, entry in ends.in_order():
+        if worker.key not in slots_by_key:
+            continue
+        before = slots_by_key[worker.key]
         free_by_key[worker.key] += entry.step.footprint
-        gained = footprint.copies_in(free_by_key[worker.key]) - before
+        slots_by_key[worker.key] = footprint.copies_in(free_by_key[worker.key])
+        gained = slots_by_key[worker.key] - before
         slots += gained
         if not gained or slots < demand.size:
             continue
@@ -96,34 +104,55 @@
     return None
 
 
-def _by_expected_end(
-    workers: list[fleet.TrackedWorker], now_s: float
-) -> list[tuple[fleet.TrackedWorker, ledger.RunEntry]]:
-    """Returns the runs that end by themselves, in the order of their ends.
+class ExpectedEnds:
+    """The runs that end by themselves, in the order of their expected ends.
 
     Of runs that end at the same time, those on less used workers come first.
+
+    Args:
+        candidates: the workers of the runs.
+        now_s: current monotonic time.
     """
-    members_by_unit: dict[int, list[ledger.RunEntry]] = collections.defaultdict(
-        list
-    )
-    for worker in workers:
-        for entry in worker.entries_by_key.values():
-            members_by_unit[id(entry.unit)].append(entry)
-    remaining_s_by_unit = {
-        unit: ledger.remaining_s(members, now_s)
-        for unit, members in members_by_unit.items()
-    }
-    timed = [
-        (remaining_s_by_unit[id(entry.unit)], worker, entry)
-        for worker in workers
-        for entry in worker.entries_by_key.values()
-    ]
-    ending = [row for row in timed if row[0] < float("inf")]
-    ending.sort(
-        key=lambda row: (
-            row[0],
-            len(row[1].entries_by_key),
-            row[1].key.worker,
+
+    def __init__(self, candidates: placement.Candidates, now_s: float) -> None:
+        self._workers = candidates.workers_by_key.values()
+        self._now_s = now_s
+        self._in_order: (
+            list[tuple[fleet.TrackedWorker, ledger.RunEntry]] | None
+        ) = None
+
+    def invalidate(self) -> None:
+        """Notes that a run was placed or stopped."""
+        self._in_order = None
+
+    def in_order(self) -> list[tuple[fleet.TrackedWorker, ledger.RunEntry]]:
+        """Returns the runs, each with its worker."""
+        if self._in_order is None:
+            self._in_order = self._find()
+        return self._in_order
+
+    def _find(self) -> list[tuple[fleet.TrackedWorker, ledger.RunEntry]]:
+        members_by_unit: dict[int, list[ledger.RunEntry]] = (
+            collections.defaultdict(list)
+        )
+        for worker in self._workers:
+            for entry in worker.entries_by_key.values():
+                members_by_unit[id(entry.unit)].append(entry)
+        remaining_s_by_unit = {
+            unit: ledger.remaining_s(members, self._now_s)
+            for unit, members in members_by_unit.items()
+        }
+        timed = [
+            (remaining_s_by_unit[id(entry.unit)], worker, entry)
+            for worker in self._workers
+            for entry in worker.entries_by_key.values()
+        ]
+        ending = [row for row in timed if row[0] < float("inf")]
+        ending.sort(
+            key=lambda row: (
+                row[0],
+                len(row[1].entries_by_key),
+                row[1].key.worker,
+            )
         )
-    )
-    return [(worker, entry) for _, worker, entry in ending]
+        return [(worker, entry) for _, worker, entry in ending]
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -74,6 +74,9 @@
         self.free_by_key: FreeResources = {
             key: worker.free for key, worker in self.workers_by_key.items()
         }
+        self._eligible_by_requirement: dict[
+            tuple[str, str], list[fleet.TrackedWorker]
+        ] = {}
 
     def reserve(
         self, key: runs.IncarnationKey, amount: model.Resources
@@ -83,6 +86,17 @@
 
     def eligible(self, demand: Demand) -> list[fleet.TrackedWorker]:
         """Returns the workers that may run a unit, given enough capacity."""
+        if demand.allowed is not None or demand.crashed_on:
+            return self._find_eligible(demand)
+        # Only the service and the label decide, and they don't change.
+        requirement = (demand.service, demand.step.required_label)
+        found = self._eligible_by_requirement.get(requirement)
+        if found is None:
+            found = self._find_eligible(demand)
+            self._eligible_by_requirement[requirement] = found
+        return found
+
+    def _find_eligible(self, demand: Demand) -> list[fleet.TrackedWorker]:
         return [
             worker
             for worker in self.workers_by_key.values()
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -80,19 +80,23 @@
         engine.advice.start_pass()
         self._waiting.clear()
         held = holds.Holds(candidates)
+        ends = holds.ExpectedEnds(candidates, now_s)
+        self._preemptor.start_pass(candidates)
         for tracked in open_jobs:
             held.apply_to(tracked.job.queue.priority)
             for name, unit in _ready_units(tracked):
                 demand = self._demand(tracked, name, unit, now_s)
                 if self._start(candidates, tracked, name, unit, demand):
+                    ends.invalidate()
                     continue
                 self._waiting.append((tracked, demand))
                 if self._preemptor.make_room(
                     candidates, tracked, demand, entitled
                 ):
+                    ends.invalidate()
                     continue
                 if _any_less_urgent(open_jobs, tracked):
-                    self._hold(held, candidates, tracked, demand)
+                    self._hold(held, candidates, tracked, demand, ends)
                 if not demand.step.gang:
                     # The step's other tasks have the same requirements, so
                     # they don't fit either.
@@ -106,11 +110,10 @@
         candidates: placement.Candidates,
         tracked: ledger.TrackedJob,
         demand: placement.Demand,
+        ends: holds.ExpectedEnds,
     ) -> None:
         """Holds the resources that a unit is expected to get first."""
-        assigned = holds.earliest_assignment(
-            candidates, demand, self._clock.monotonic()
-        )
+        assigned = holds.earliest_assignment(candidates, demand, ends)
         if assigned is not None:
             held.add(
                 holds.Hold(
--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -14,6 +14,7 @@
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
     from pimentobridge.core.scheduling import engine as engine_lib
+    from pimentobridge.core.scheduling import fleet
     from pimentobridge.core.scheduling import ledger
 
 
@@ -36,6 +37,19 @@
         self._engine = engine
         self._clock = clock
         self._log = log
+        self._ending_by_key: placement.FreeResources = {}
+        self._victims_by_rank: dict[tuple[int, bool], list[reclaim.Victim]] = {}
+
+    def start_pass(self, candidates: placement.Candidates) -> None:
+        """Prepares for a pass; must precede its calls of `make_room`."""
+        self._victims_by_rank.clear()
+        # What the runs that are ending or being stopped will free, by worker.
+        self._ending_by_key = {
+            worker.key: amount
+            for worker in candidates.workers_by_key.values()
+            if (amount := _resources_of_ending_runs(worker))
+            != model.NO_RESOURCES
+        }
 
     def make_room(
         self,
@@ -51,23 +65,17 @@
         """
         now_s = self._clock.monotonic()
         guaranteed = tracked.id in entitled
-        workers = list(candidates.workers_by_key.values())
         projected = dict(candidates.free_by_key)
-        for worker in workers:
-            projected[worker.key] += model.total(
-                worker.untracked_by_key.values()
-            )
-            for entry in worker.entries_by_key.values():
-                if entry.stop_requested or not entry.is_current:
-                    projected[worker.key] += entry.step.footprint
+        for key, amount in self._ending_by_key.items():
+            projected[key] += amount
         assigned = placement.place(candidates, demand, free_by_key=projected)
         if assigned is None:
             chosen = reclaim.choose_victims(
                 candidates,
                 demand,
                 free_by_key=projected,
-                victims=reclaim.possible_victims(
-                    workers,
+                victims=self._possible_victims(
+                    candidates,
                     entitled,
                     priority=tracked.job.queue.priority,
                     guaranteed=guaranteed,
@@ -98,6 +106,35 @@
             candidates.reserve(key, demand.step.footprint)
         return True
 
+    def _possible_victims(
+        self,
+        candidates: placement.Candidates,
+        entitled: set[types.JobId],
+        *,
+        priority: int,
+        guaranteed: bool,
+        now_s: float,
+    ) -> list[reclaim.Victim]:
+        """Returns the units that a job may preempt, see `reclaim`.
+
+        They are found once in a pass for all jobs of a rank: what the pass has
+        placed before is of the same rank or a higher one.
+        """
+        rank = (priority, guaranteed)
+        if rank not in self._victims_by_rank:
+            self._victims_by_rank[rank] = reclaim.possible_victims(
+                candidates.workers_by_key.values(),
+                entitled,
+                priority=priority,
+                guaranteed=guaranteed,
+                now_s=now_s,
+            )
+        return [
+            victim
+            for victim in self._victims_by_rank[rank]
+            if not victim.entries[0][1].stop_requested
+        ]
+
     def _stop_victim(
         self,
         victim: reclaim.Victim,
@@ -106,6 +143,8 @@
     ) -> None:
         for worker, entry in victim.entries:
             entry.stop_requested = True
+            ending = self._ending_by_key.get(worker.key, model.NO_RESOURCES)
+            self._ending_by_key[worker.key] = ending + entry.step.footprint
             self._log(
                 "run stopped for a more urgent job",
                 job=entry.tracked.id,
@@ -118,3 +157,13 @@
                 ),
                 lost_work=round(lost_work, 1),
             )
+
+
+def _resources_of_ending_runs(worker: fleet.TrackedWorker) -> model.Resources:
+    """Returns what the runs that are ending or being stopped will free."""
+    ending = [
+        entry.step.footprint
+        for entry in worker.entries_by_key.values()
+        if entry.stop_requested or not entry.is_current
+    ]
+    return model.total([*worker.untracked_by_key.values(), *ending])
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -179,60 +179,84 @@
             being stopped.
         victims: units that may be stopped, in the order of preference.
     """
-    projected = dict(free_by_key)
-    footprint = demand.step.footprint
+    projected = ProjectedRoom(candidates, demand, free_by_key)
     picked: list[Victim] = []
     assigned = None
     for victim in victims:
         picked.append(victim)
-        freed = victim.freed()
-        for key, amount in freed.items():
-            if key in projected:
-                projected[key] += amount
-        # The outcome can change only if a member now fits on one of the
-        # victim's workers.
-        if not any(
-            key in projected and footprint.copies_in(projected[key])
-            for key in freed
-        ):
+        if not projected.add(victim):
             continue
-        assigned = placement.place(candidates, demand, free_by_key=projected)
+        assigned = projected.place()
         if assigned is not None:
             break
     if assigned is None:
         return None
-    return _drop_unneeded_victims(candidates, demand, free_by_key, picked)
-
-
-def _drop_unneeded_victims(
-    candidates: placement.Candidates,
-    demand: placement.Demand,
-    free_by_key: placement.FreeResources,
-    picked: list[Victim],
-) -> tuple[list[Victim], list[runs.IncarnationKey]] | None:
-    """Drops victims that needn't be stopped, the least preferred first."""
     kept = list(picked)
-    assigned = None
     for victim in reversed(picked):
-        remaining = [other for other in kept if other is not victim]
-        assigned_without = placement.place(
-            candidates, demand, free_by_key=_with_freed(free_by_key, remaining)
-        )
-        if assigned_without is not None:
-            kept, assigned = remaining, assigned_without
-    if assigned is None:
-        assigned = placement.place(
-            candidates, demand, free_by_key=_with_freed(free_by_key, kept)
-        )
-    return None if assigned is None else (kept, assigned)
+        # Drops the victims that needn't be stopped, the least preferred first.
+        projected.remove(victim)
+        assigned_without = projected.place()
+        if assigned_without is None:
+            projected.add(victim)
+        else:
+            kept.remove(victim)
+            assigned = assigned_without
+    return kept, assigned
 
 
-def _with_freed(
-    free_by_key: placement.FreeResources, victims: list[Victim]
-) -> placement.FreeResources:
-    projected = dict(free_by_key)
-    for victim in victims:
+class ProjectedRoom:
+    """Room for a unit on its workers, once some victims have stopped.
+
+    Args:
+        candidates: workers that accept tasks.
+        demand: requirements of the unit.
+        free_by_key: resources by worker that are free without the victims.
+    """
+
+    def __init__(
+        self,
+        candidates: placement.Candidates,
+        demand: placement.Demand,
+        free_by_key: placement.FreeResources,
+    ) -> None:
+        self._candidates = candidates
+        self._demand = demand
+        self._free_by_key = dict(free_by_key)
+        footprint = demand.step.footprint
+        # How many members fit, by worker that may run them.
+        self._slots_by_key = {
+            worker.key: footprint.copies_in(self._free_by_key[worker.key])
+            for worker in candidates.eligible(demand)
+        }
+        self._slots = sum(self._slots_by_key.values())
+
+    def add(self, victim: Victim) -> bool:
+        """Adds what a victim frees; returns whether more members fit."""
+        before = self._slots
+        for key, amount in victim.freed().items():
+            if key in self._free_by_key:
+                self._set_free(key, self._free_by_key[key] + amount)
+        return self._slots > before
+
+    def remove(self, victim: Victim) -> None:
+        """Takes back what `add` of the victim has added."""
         for key, amount in victim.freed().items():
-            if key in projected:
-                projected[key] += amount
-    return projected
+            if key in self._free_by_key:
+                self._set_free(key, self._free_by_key[key] - amount)
+
+    def place(self) -> list[runs.IncarnationKey] | None:
+        """Returns a worker for each member, or None if the unit doesn't fit."""
+        if self._slots < self._demand.size:
+            return None
+        return placement.place(
+            self._candidates, self._demand, free_by_key=self._free_by_key
+        )
+
+    def _set_free(
+        self, key: runs.IncarnationKey, amount: model.Resources
+    ) -> None:
+        self._free_by_key[key] = amount
+        if key in self._slots_by_key:
+            slots = self._demand.step.footprint.copies_in(amount)
+            self._slots += slots - self._slots_by_key[key]
+            self._slots_by_key[key] = slots
