--- a/tests/test_decision_cost.py
+++ b/tests/test_decision_cost.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-import pytest
+from typing import TYPE_CHECKING
 
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.testing import crowded_load
 from pimentobridge.testing import engine_harness
 
+if TYPE_CHECKING:
+    import pytest
+
 ACCELERATORS_PER_WORKER = 8
 # What is asked, as a multiple of what there is.
 OVERLOAD = 2.0
