Start a failed task on a worker where it hasn't failed

Cause: a worker that fails whatever it starts is free again at once. Such workers were only placed last in the order, so while the others were busy a task went back to it until its attempts were used up, and its job failed for good.

Change: a unit's record names the workers on which it has failed, and it goes to others if these could hold it. Two of the three new tests in tests/test_worker_health.py failed before; all pass now.

--- a/pimentobridge/core/jobs/progress.py
+++ b/pimentobridge/core/jobs/progress.py
@@ -80,6 +80,7 @@
             counts once, however many of its members fail.
         crashed_on_by_member: agents of the machines on which the worker
             crashed under a member, one for each crash.
+        failed_on: workers on which a run has failed.
     """
 
     first: int
@@ -91,6 +92,7 @@
     placements: list[Placement] = []
     counted_run: int = 0
     crashed_on_by_member: dict[int, list[types.Address]] = {}
+    failed_on: list[types.WorkerId] = []
 
     @property
     def crashed_on(self) -> set[types.Address]:
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -389,6 +389,7 @@
         if end.checkpoint:
             unit.checkpoint = end.checkpoint
         if end.cause is runs.EndCause.FAILED:
+            unit.failed_on.append(worker.key.worker)
             if worker.health.on_failed(tracked.id, self._clock.monotonic()):
                 self._log(
                     "worker ejected",
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -32,6 +32,8 @@
             already; needed only for a step with `max_per_worker`.
         allowed: the workers that the external policy allows; None if the queue
             has no policy.
+        failed_on: workers on which the unit has failed; it goes to others, if
+            there are any that could hold it.
         crashed_on: agents of the machines on which the worker crashed under
             the unit; a unit with any isn't placed beside another such unit.
     """
@@ -44,6 +46,7 @@
     )
     allowed: Collection[runs.IncarnationKey] | None = None
     crashed_on: Collection[types.Address] = ()
+    failed_on: Collection[types.WorkerId] = ()
 
     def may_run_on(self, worker: fleet.TrackedWorker) -> bool:
         """Returns whether a worker may run the step, given enough capacity."""
@@ -86,6 +89,8 @@
 
     def eligible(self, demand: Demand) -> list[fleet.TrackedWorker]:
         """Returns the workers that may run a unit, given enough capacity."""
+        if demand.failed_on:
+            return _without_failed(self._find_eligible(demand), demand)
         if demand.allowed is not None or demand.crashed_on:
             return self._find_eligible(demand)
         # Only the service and the label decide, and they don't change.
@@ -104,6 +109,28 @@
         ]
 
 
+def _without_failed(
+    workers: list[fleet.TrackedWorker], demand: Demand
+) -> list[fleet.TrackedWorker]:
+    """Returns the workers on which a unit hasn't failed.
+
+    A worker that fails what it starts is free again at once, while the others
+    are busy. A unit that went back to it would use up its attempts there.
+    Returns all workers if the others couldn't hold the unit even when idle.
+    """
+    others = [
+        worker
+        for worker in workers
+        if worker.key.worker not in demand.failed_on
+    ]
+    slots = sum(
+        demand.step.footprint.copies_in(worker.incarnation.capacity)
+        for worker in others
+        if worker.incarnation is not None
+    )
+    return others if slots >= demand.size else workers
+
+
 def place(
     candidates: Candidates,
     demand: Demand,
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -140,6 +140,7 @@
                 else None
             ),
             crashed_on=unit.crashed_on,
+            failed_on=unit.failed_on,
         )
 
     def _entitled_jobs(self) -> set[types.JobId]:
--- a/tests/test_worker_health.py
+++ b/tests/test_worker_health.py
@@ -4,6 +4,7 @@
 
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import progress
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import stalls
 from pimentobridge.testing import engine_harness
@@ -25,6 +26,68 @@
     ]
 
 
+def _fail(
+    harness: engine_harness.EngineHarness, number: int, *keys: runs.RunKey
+) -> None:
+    """Lists runs as failed on a worker, and runs a pass."""
+    ended = tuple(
+        runs.EndedRun(position + 1, key, runs.EndCause.FAILED, "")
+        for position, key in enumerate(keys)
+    )
+    harness.observe(number, ended=ended)
+    harness.plan()
+    harness.record()
+
+
+# Guards against SHORT where all other workers are busy: seen on Vorlauf's site,
+# an urgent job failed for good within 0.4 s, as one of its tasks used up its
+# attempts on a worker that fails whatever it starts.
+def test_a_failed_task_waits_for_another_worker() -> None:
+    harness = engine_harness.EngineHarness(2)
+    whole = model.Step(1, engine_harness.WORKER, 5.0)
+    submitted = harness.submit(
+        engine_harness.job("a" * 16, whole, priority=0, account="other"),
+        engine_harness.job("b" * 16, whole, priority=0, account="other"),
+    )
+    (failing, key), (_, other) = engine_harness.started(submitted)
+    _fail(harness, failing, key)
+    assert harness.observe(failing).starts == ()
+    harness.observe(
+        1 - failing, ended=engine_harness.ended(other, runs.EndCause.DONE)
+    )
+    harness.plan()
+    harness.record()
+    orders = [harness.observe(0), harness.observe(1)]
+    assert engine_harness.started(orders) == [
+        (1 - failing, runs.RunKey(key.task, 2))
+    ]
+
+
+def test_a_failed_task_is_retried_on_the_only_worker_that_can_hold_it() -> None:
+    harness = engine_harness.EngineHarness(1)
+    [(number, key)] = engine_harness.started(
+        harness.submit(engine_harness.job())
+    )
+    _fail(harness, number, key)
+    assert engine_harness.started([harness.observe(0)]) == [
+        (0, runs.RunKey(key.task, 2))
+    ]
+
+
+def test_a_new_scheduler_knows_where_a_task_has_failed() -> None:
+    harness = engine_harness.EngineHarness(1)
+    [(number, key)] = engine_harness.started(
+        harness.submit(engine_harness.job())
+    )
+    _fail(harness, number, key)
+    tracked = harness.engine.jobs_by_id[types.JobId("a" * 16)]
+    recorded = progress.decode_progress(
+        progress.encode_progress(tracked.progress), tracked.job
+    )
+    (unit,) = (unit for _, _, unit in recorded.units())
+    assert unit.failed_on == ["w0"]
+
+
 def test_a_worker_that_fails_several_jobs_is_ejected() -> None:
     harness = engine_harness.EngineHarness(1)
     first = engine_harness.job("a" * 16)
