Go on after an unexpected error in a message, an order or a pass

Cause: an exception in the handling of one message, in one order to a worker or in a scheduling pass ended the nursery and with it the whole process; a job on which the pass fails would have ended each new scheduler.

Change: daemons/containment logs such an error with its activity and traceback, and the process goes on. After an error in the scheduler the entry gives up its term, so that another entry reads the jobs anew.

--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -10,6 +10,7 @@
 from pimentobridge.core import decoding
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import configuration_follower
+from pimentobridge.daemons import containment
 from pimentobridge.daemons import handover
 from pimentobridge.daemons import job_items
 from pimentobridge.daemons import job_writer
@@ -27,6 +28,9 @@
 from pimentobridge.protocol import documents
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
     from pimentobridge.core.jobs import configuration
@@ -277,33 +281,54 @@
     async def _receive_messages(self, nursery: trio.Nursery) -> None:
         while True:
             envelope = await self._endpoint.receive()
-            message = envelope.message
-            if isinstance(message, control.WorkerReport):
-                self._on_report(message)
-            elif isinstance(message, control.WriteRelay):
-                nursery.start_soon(self._serve_relay, envelope.sender, message)
-            elif isinstance(message, control.WriteRelayed):
-                self._relay.on_outcome(message)
-            elif isinstance(message, control.StoreProbe):
-                nursery.start_soon(self._handover.on_probe, envelope.sender)
-            elif isinstance(message, control.StoreProbed):
-                self._handover.on_probed(envelope.sender)
-            elif isinstance(message, control.LeaseRelease):
-                nursery.start_soon(self._store.revoke_lease, message.lease)
-            elif isinstance(message, control.MirrorQuery):
-                self.sharing.on_query(envelope.sender, message)
-            elif isinstance(message, control.MirrorCopy):
-                self.sharing.on_copy(envelope.sender, message)
-            elif isinstance(message, documents.DocumentQuery):
-                self._follower.server.on_query(envelope.sender, message)
-            elif isinstance(message, documents.DocumentPart):
-                self._follower.client.on_part(envelope.sender, message)
-            else:
-                logs.event(
-                    "unexpected message",
-                    type=type(message).__name__,
-                    sender=envelope.sender,
-                )
+            with containment.contained(
+                "handling a message",
+                type=type(envelope.message).__name__,
+                sender=envelope.sender,
+            ):
+                self._handle(envelope, nursery)
+
+    def _handle(
+        self, envelope: transport.Envelope, nursery: trio.Nursery
+    ) -> None:
+        message = envelope.message
+        if isinstance(message, control.WorkerReport):
+            self._on_report(message)
+        elif isinstance(message, control.WriteRelay):
+            self._spawn(nursery, self._serve_relay, envelope.sender, message)
+        elif isinstance(message, control.WriteRelayed):
+            self._relay.on_outcome(message)
+        elif isinstance(message, control.StoreProbe):
+            self._spawn(nursery, self._handover.on_probe, envelope.sender)
+        elif isinstance(message, control.StoreProbed):
+            self._handover.on_probed(envelope.sender)
+        elif isinstance(message, control.LeaseRelease):
+            self._spawn(nursery, self._store.revoke_lease, message.lease)
+        elif isinstance(message, control.MirrorQuery):
+            self.sharing.on_query(envelope.sender, message)
+        elif isinstance(message, control.MirrorCopy):
+            self.sharing.on_copy(envelope.sender, message)
+        elif isinstance(message, documents.DocumentQuery):
+            self._follower.server.on_query(envelope.sender, message)
+        elif isinstance(message, documents.DocumentPart):
+            self._follower.client.on_part(envelope.sender, message)
+        else:
+            logs.event(
+                "unexpected message",
+                type=type(message).__name__,
+                sender=envelope.sender,
+            )
+
+    def _spawn(
+        self,
+        nursery: trio.Nursery,
+        handler: Callable[..., Awaitable[object]],
+        *args: object,
+    ) -> None:
+        """Answers a message in the background."""
+        nursery.start_soon(
+            containment.run_contained, "answering a message", handler, *args
+        )
 
     def _on_report(self, report: control.WorkerReport) -> None:
         if self.scheduler is not None:
@@ -382,9 +407,17 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._cancel_when_term_ends, token, term)
                     await self.mirror.wait_for_revision(token)
-                    await self._run_term()
+                    with containment.contained("scheduling", token=token):
+                        await self._run_term()
+                    # Only an error ends the scheduler before its term.
+                    await self._give_up_term()
             self.scheduler = None
 
+    async def _give_up_term(self) -> None:
+        """Leaves the scheduling to another entry after an unexpected error."""
+        self.scheduler = None
+        await self.leadership.resign()
+
     async def _run_term(self) -> None:
         scheduler = scheduling.Scheduler(
             endpoint=self._endpoint,
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -8,6 +8,7 @@
 
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine
+from pimentobridge.daemons import containment
 from pimentobridge.daemons import document_source
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import report_route
@@ -20,6 +21,7 @@
 from pimentobridge.protocol import documents
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from pimentobridge.core import clock as clock_lib
@@ -198,13 +200,19 @@
     async def _receive_messages(self) -> None:
         while True:
             envelope = await self._endpoint.receive()
-            message = envelope.message
-            if isinstance(message, control.WorkerOrders):
-                self._on_orders(message)
-            elif isinstance(message, documents.DocumentQuery):
-                self._configuration_source.server.on_query(
-                    envelope.sender, message
-                )
+            with containment.contained(
+                "handling a message",
+                type=type(envelope.message).__name__,
+                sender=envelope.sender,
+            ):
+                self._handle(envelope)
+
+    def _handle(self, envelope: transport.Envelope) -> None:
+        message = envelope.message
+        if isinstance(message, control.WorkerOrders):
+            self._on_orders(message)
+        elif isinstance(message, documents.DocumentQuery):
+            self._configuration_source.server.on_query(envelope.sender, message)
 
     def _on_orders(self, orders: control.WorkerOrders) -> None:
         if orders.token < self._token:
@@ -265,7 +273,7 @@
         self,
         kind: str,
         key: runs.RunKey,
-        handler: Callable[..., object],
+        handler: Callable[..., Awaitable[object]],
         argument: object,
     ) -> None:
         """Carries out an order in the background, unless that is under way."""
@@ -277,7 +285,9 @@
         async def carry_out() -> None:
             in_progress = self._view.orders_in_progress
             try:
-                await handler(argument)  # type: ignore[misc]
+                await containment.run_contained(
+                    f"carrying out a {kind}", handler, argument
+                )
             finally:
                 in_progress.discard(order_id)
 
