Displace the runs that lose least together, not each by itself

Cause: victims were taken in the order of what each loses. Many small runs came before one large run, also where all that must stop for a whole worker lose more than the large one.

Change: besides that order, room is sought worker by worker (within a rack for a gang that must be in one), where a member costs least; the choice that loses least in all is taken, and one without runs of urgent jobs before one with. choosing moved from reclaim to victim_choice.

--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -7,6 +7,7 @@
 from pimentobridge.core.jobs import model
 from pimentobridge.core.scheduling import placement
 from pimentobridge.core.scheduling import reclaim
+from pimentobridge.core.scheduling import victim_choice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,7 +71,7 @@
             projected[key] += amount
         assigned = placement.place(candidates, demand, free_by_key=projected)
         if assigned is None:
-            chosen = reclaim.choose_victims(
+            chosen = victim_choice.choose(
                 candidates,
                 demand,
                 free_by_key=projected,
@@ -81,16 +82,16 @@
                     guaranteed=guaranteed,
                     now_s=now_s,
                 ),
+                now_s=now_s,
             )
             if chosen is None:
                 return False
-            victims, assigned = chosen
-            lost_work = sum(victim.lost_work(now_s) for victim in victims)
+            assigned = chosen.assigned
             waited_s = now_s - tracked.first_seen_s
             limit = reclaim.loss_limit(guaranteed=guaranteed, waited_s=waited_s)
-            if lost_work <= limit:
-                for victim in victims:
-                    self._stop_victim(victim, tracked, lost_work)
+            if chosen.lost_work <= limit:
+                for victim in chosen.victims:
+                    self._stop_victim(victim, tracked, chosen.lost_work)
             else:
                 # A pass is due then even without another change.
                 rise_s = reclaim.next_rise_s(
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -13,7 +13,6 @@
 
     from pimentobridge.core import types
     from pimentobridge.core.jobs import progress
-    from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import fleet
     from pimentobridge.core.scheduling import ledger
 
@@ -53,6 +52,11 @@
         """Priority of the unit's queue."""
         return self.entries[0][1].tracked.job.queue.priority
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether a caller waits for the unit's job."""
+        return self.priority == guarantees.URGENT_PRIORITY
+
     def freed(self) -> placement.FreeResources:
         """Returns the resources that a stop frees, by worker."""
         freed: placement.FreeResources = {}
@@ -137,7 +141,7 @@
     return sorted(
         by_unit.values(),
         key=lambda victim: (
-            victim.priority == guarantees.URGENT_PRIORITY,
+            victim.is_urgent,
             victim.lost_work(now_s),
             -victim.priority,
             str(victim.entries[0][1].name),
@@ -159,104 +163,3 @@
     if priority != guarantees.URGENT_PRIORITY and not entry.step.checkpointing:
         return True
     return entry.tracked.job.queue.priority <= priority
-
-
-def choose_victims(
-    candidates: placement.Candidates,
-    demand: placement.Demand,
-    *,
-    free_by_key: placement.FreeResources,
-    victims: list[Victim],
-) -> tuple[list[Victim], list[runs.IncarnationKey]] | None:
-    """Returns the victims to stop and a worker for each member of the unit.
-
-    Returns None if the unit wouldn't fit even if all victims were stopped.
-
-    Args:
-        candidates: workers that accept tasks.
-        demand: requirements of the unit to place.
-        free_by_key: free resources by worker, including those of runs that are
-            being stopped.
-        victims: units that may be stopped, in the order of preference.
-    """
-    projected = ProjectedRoom(candidates, demand, free_by_key)
-    picked: list[Victim] = []
-    assigned = None
-    for victim in victims:
-        picked.append(victim)
-        if not projected.add(victim):
-            continue
-        assigned = projected.place()
-        if assigned is not None:
-            break
-    if assigned is None:
-        return None
-    kept = list(picked)
-    for victim in reversed(picked):
-        # Drops the victims that needn't be stopped, the least preferred first.
-        projected.remove(victim)
-        assigned_without = projected.place()
-        if assigned_without is None:
-            projected.add(victim)
-        else:
-            kept.remove(victim)
-            assigned = assigned_without
-    return kept, assigned
-
-
-class ProjectedRoom:
-    """Room for a unit on its workers, once some victims have stopped.
-
-    Args:
-        candidates: workers that accept tasks.
-        demand: requirements of the unit.
-        free_by_key: resources by worker that are free without the victims.
-    """
-
-    def __init__(
-        self,
-        candidates: placement.Candidates,
-        demand: placement.Demand,
-        free_by_key: placement.FreeResources,
-    ) -> None:
-        self._candidates = candidates
-        self._demand = demand
-        self._free_by_key = dict(free_by_key)
-        footprint = demand.step.footprint
-        # How many members fit, by worker that may run them.
-        self._slots_by_key = {
-            worker.key: footprint.copies_in(self._free_by_key[worker.key])
-            for worker in candidates.eligible(demand)
-        }
-        self._slots = sum(self._slots_by_key.values())
-
-    def add(self, victim: Victim) -> bool:
-        """Adds what a victim frees; returns whether more members fit."""
-        before = self._slots
-        for key, amount in victim.freed().items():
-            if key in self._free_by_key:
-                self._set_free(key, self._free_by_key[key] + amount)
-        return self._slots > before
-
-    def remove(self, victim: Victim) -> None:
-        """Takes back what `add` of the victim has added."""
-        for key, amount in victim.freed().items():
-            if key in self._free_by_key:
-                self._set_free(key, self._free_by_key[key] - amount)
-
-    def place(self) -> list[runs.IncarnationKey] | None:
-        """Returns a worker for each member, or None if the unit doesn't fit."""
-        if self._slots < self._demand.size:
-            return None
-        return placement.place(
-            self._candidates, self._demand, free_by_key=self._free_by_key
-        )
-
-    def _set_free(
-        self, key: runs.IncarnationKey, amount: model.Resources
-    ) -> None:
-        self._free_by_key[key] = amount
-        if key in self._slots_by_key:
-            slots = self._demand.step.footprint.copies_in(amount)
-            self._slots += slots - self._slots_by_key[key]
-            self._slots_by_key[key] = slots
