Log what a job asks for; take an odd timeout of a caller as none

'job submitted' didn't say what a job asks for, so that a log couldn't tell why one was never placed. A Timeout-Ms of thousands of digits, or with digits that aren't ASCII, raised ValueError and ended the call with status 500: two of the five new cases in tests/test_job_api.py failed before; all pass now.

--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core.jobs import configuration
+    from pimentobridge.core.jobs import model
 
 READINESS_PATH = "/v1/readiness"
 DEFAULT_TIMEOUT_S = 3.0
@@ -36,6 +37,10 @@
 OLD_MIRROR_S = 2.5
 # Limit of remembered jobs whose end was told.
 MAX_REMEMBERED_ENDS = 10_000
+# Limit on the steps of a job that are logged.
+MAX_LOGGED_STEPS = 8
+# Longer numbers than this are no timeouts, and too long to convert.
+TIMEOUT_MS_PATTERN = re.compile(r"[0-9]{1,9}\Z")
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}\Z")
 
 
@@ -160,6 +165,7 @@
             queue=queue.name,
             account=account,
             steps=len(decoded.ok_value.steps),
+            asks=_asked_by(decoded.ok_value),
             store_away=self._entry.store_unreachable,
             outcome=outcome.value,
         )
@@ -219,10 +225,28 @@
 
     def _deadline_s(self, scope: http.Scope) -> float:
         text = http.header(scope, "timeout-ms")
-        timeout_s = int(text) / 1000 if text.isdigit() else DEFAULT_TIMEOUT_S
+        timeout_s = DEFAULT_TIMEOUT_S
+        if TIMEOUT_MS_PATTERN.match(text):
+            timeout_s = int(text) / 1000
         return self._clock.monotonic() + timeout_s * RESPONSE_TIME_FRACTION
 
 
+def _asked_by(job: model.Job) -> list[list[object]]:
+    """Returns what the first steps of a job ask for, for the log.
+
+    For each step that is the number of tasks, "gang" or "tasks", and the
+    millicores, MiB and accelerators of each task.
+    """
+    return [
+        [
+            step.count,
+            "gang" if step.gang else "tasks",
+            *msgspec.structs.astuple(step.request),
+        ]
+        for step in job.steps[:MAX_LOGGED_STEPS]
+    ]
+
+
 def _response(status: int, body: object | None = None) -> http.Response:
     content = b"" if body is None else msgspec.json.encode(body)
     return http.Response(status, content)
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -35,7 +35,7 @@
         *,
         key: str = world_lib.KEY,
         entry: int = 0,
-        timeout_ms: int | None = None,
+        timeout_ms: int | str | None = None,
     ) -> tuple[int, Any]:
         api = self._world.entries[entry].api
         assert api is not None
@@ -61,7 +61,7 @@
         }
         if timeout_ms is not None:
             scope["headers"].append(  # type: ignore[attr-defined]
-                (b"timeout-ms", str(timeout_ms).encode())
+                (b"timeout-ms", str(timeout_ms).encode("latin-1"))
             )
         await api(scope, receive, send)
         answer = sent[1]["body"]
@@ -119,6 +119,20 @@
     assert expected_text in json.dumps(answer)
 
 
+@pytest.mark.parametrize(
+    "timeout_ms",
+    ["9" * 5000, "\u00b2", "-1", "1e9", ""],
+    ids=["too long", "not ASCII", "negative", "float", "empty"],
+)
+def test_an_odd_timeout_counts_as_none(timeout_ms: str) -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        return await caller.call(
+            "POST", f"/queue-1/{JOB_ID}", VALID_JOB, timeout_ms=timeout_ms
+        )
+
+    assert run_scenario(scenario)[0] == 200
+
+
 def test_refusals_name_what_is_wrong() -> None:
     async def scenario(world: world_lib.World, caller: Caller) -> Any:
         return [
