Refuse at once what the whole fleet can't run

Cause: a gang larger than all workers of its service, or a task larger than any worker, was accepted and waited for ever; its caller got no error.

Change: the scheduler records the largest numbers of workers by shape that it has known at one time, once they have settled; entries refuse a submission that wouldn't fit on all of them, with what it asked and what there is. Workers that are away still count, so a gang that fits the whole fleet waits for them. Nothing is refused for a service without workers so far, in a standby pool, or for a job that is stored already.

Not done: to end accepted jobs when the fleet has shrunk for good.

--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -158,14 +158,24 @@
         if isinstance(decoded, result.Err):
             logs.event("job invalid", job=job_id, why=decoded.err_value.detail)
             return _error(400, str(decoded.err_value))
-        outcome = await self._entry.submit(decoded.ok_value, deadline_s)
+        job = decoded.ok_value
+        problem = self._entry.capacity_problem(job)
+        if problem:
+            logs.event(
+                "job fits no fleet",
+                job=job_id,
+                asks=_asked_by(job),
+                why=problem,
+            )
+            return _error(400, f"not run: {problem} Submit a smaller job.")
+        outcome = await self._entry.submit(job, deadline_s)
         logs.event(
             "job submitted",
             job=job_id,
             queue=queue.name,
             account=account,
-            steps=len(decoded.ok_value.steps),
-            asks=_asked_by(decoded.ok_value),
+            steps=len(job.steps),
+            asks=_asked_by(job),
             store_away=self._entry.store_unreachable,
             outcome=outcome.value,
         )
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -11,6 +11,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import configuration_follower
 from pimentobridge.daemons import containment
+from pimentobridge.daemons import fleet_record
 from pimentobridge.daemons import handover
 from pimentobridge.daemons import job_items
 from pimentobridge.daemons import job_writer
@@ -219,6 +220,20 @@
             job.id, progress_lib.encode_job(job), deadline_s
         )
 
+    def capacity_problem(self, job: model.Job) -> str:
+        """Returns why no fleet known so far could run a job, or no text."""
+        if keys.job(job.id) in self.mirror.items_by_key:
+            # An earlier call was accepted.
+            return ""
+        if self.configuration is None:
+            return ""
+        service = self.configuration.services_by_name.get(job.queue.service)
+        if service is None or service.standby:
+            # Machines that are off may be started for it.
+            return ""
+        largest = fleet_record.read(self.mirror.items_by_key)
+        return largest.problem_in(job) if largest is not None else ""
+
     async def cancel(
         self, job_id: types.JobId, deadline_s: float
     ) -> control.WriteOutcome:
@@ -427,6 +442,7 @@
             leadership=self.leadership,
             settings=self.settings,
             entries=self.entries,
+            items_by_key=self.mirror.items_by_key,
             policy_service=self._policy_service,
         )
         scheduling.load_snapshot(scheduler, self.mirror.items_by_key)
--- a/pimentobridge/daemons/keys.py
+++ b/pimentobridge/daemons/keys.py
@@ -18,6 +18,7 @@
 PROGRESS = PREFIX + "progress/"
 AGENTS = PREFIX + "agents/"
 ENTRIES = PREFIX + "entries/"
+FLEET = PREFIX + "fleet"
 
 
 def job(job_id: types.JobId) -> str:
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -15,6 +15,7 @@
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import stalls
 from pimentobridge.daemons import advice as advice_lib
+from pimentobridge.daemons import fleet_record
 from pimentobridge.daemons import job_items
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import logs
@@ -78,6 +79,7 @@
         leadership: shows whether this entry still holds the leader's key.
         settings: this process's settings.
         entries: returns the addresses of all entries.
+        items_by_key: the store's items at the start of the term.
         policy_service: decides which workers may run a step; None if the
             settings name none.
     """
@@ -92,6 +94,7 @@
         leadership: leadership_lib.Leadership,
         settings: boot_settings.ProcessSettings,
         entries: Callable[[], tuple[types.Address, ...]],
+        items_by_key: Mapping[str, kv_store.Item],
         policy_service: advice_service.AdviceService | None,
     ) -> None:
         if leadership.token is None:
@@ -140,12 +143,21 @@
             clock=clock,
         )
 
+        self._fleet_record = fleet_record.FleetRecord(
+            store=store,
+            engine=self.engine,
+            token=self.token,
+            items_by_key=items_by_key,
+            clock=clock,
+        )
+
     async def run(self) -> None:
         """Runs scheduling steps until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.recorder.run)
             nursery.start_soon(self._retention.run)
             nursery.start_soon(self._adviser.run)
+            nursery.start_soon(self._fleet_record.run)
             while True:
                 started_s = trio.current_time()
                 wait_s = STEP_INTERVAL_S
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -10,6 +10,7 @@
 import trio
 
 from pimentobridge.bench import harness
+from pimentobridge.daemons import fleet_record
 from pimentobridge.daemons import job_api
 from pimentobridge.daemons import leadership
 from pimentobridge.lab import faulty_client
@@ -526,3 +527,23 @@
         return world.checker.started
 
     assert run_scenario(scenario) == 1
+
+
+def test_a_job_larger_than_the_whole_fleet_is_refused_at_once() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        await trio.sleep(fleet_record.SETTLE_S + 3.0)
+        gang = {**STEP, "gpu": 8, "gang": True}
+        path = f"/queue-1/{JOB_ID}"
+        too_wide = {"spec": SPEC, "steps": [{**gang, "count": 3}]}
+        fitting = {"spec": SPEC, "steps": [{**gang, "count": 2}]}
+        return [
+            await caller.call("POST", path, too_wide),
+            await caller.call("GET", path),
+            await caller.call("POST", path, fitting),
+        ]
+
+    refused, unknown, accepted = run_scenario(scenario)
+    assert refused[0] == 400
+    assert "needs 3 tasks" in refused[1]["error"]
+    assert unknown[0] == 410
+    assert accepted[0] == 200
