Place urgent jobs that can be in time before those that can't

Cause: of the urgent jobs that wait, the one with the least work came first, also one whose result would be late or of no use.

Change: within a priority, and behind the jobs that guarantees cover, jobs that can still be done in the time that their queue promises come first, then those that will be late, then those later than three times that.

--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -74,7 +74,10 @@
         ]
         open_jobs.sort(
             key=lambda tracked: ranking.rank(
-                tracked, entitled=tracked.id in entitled, capacity=capacity
+                tracked,
+                entitled=tracked.id in entitled,
+                capacity=capacity,
+                now_s=now_s,
             )
         )
         engine.advice.start_pass()
--- a/pimentobridge/core/scheduling/ranking.py
+++ b/pimentobridge/core/scheduling/ranking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.jobs import progress as progress_lib
@@ -32,23 +33,89 @@
     return work
 
 
+# A result later than this multiple of the time that the queue promises is of no
+# use to its caller any more.
+USELESS_AFTER_OBJECTIVES = 3.0
+
+
+class Timeliness(enum.IntEnum):
+    """When a job that starts now is expected to be done."""
+
+    IN_TIME = 0
+    LATE = 1
+    USELESS = 2
+
+
+def longest_chain_s(tracked: ledger.TrackedJob, *, remaining: bool) -> float:
+    """Returns the estimated time of a job's longest chain of steps.
+
+    Args:
+        tracked: the job.
+        remaining: whether to leave out the steps that are done.
+    """
+    occurrences = tracked.progress.occurrences_by_number.values()
+    occurrence = next(iter(occurrences), None)
+    ends_s: list[float] = []
+    for number, step in enumerate(tracked.job.steps):
+        done = (
+            remaining
+            and occurrence is not None
+            and occurrence.step_done(number)
+        )
+        took_s = 0.0 if done else step.estimate_s or ledger.DEFAULT_ESTIMATE_S
+        began_s = max((ends_s[earlier] for earlier in step.after), default=0.0)
+        ends_s.append(began_s + took_s)
+    return max(ends_s, default=0.0)
+
+
+def timeliness(tracked: ledger.TrackedJob, now_s: float) -> Timeliness:
+    """Returns whether a job's result may still be in time.
+
+    Jobs with a schedule or without an end have no such time and count as in
+    time.
+    """
+    if tracked.job.occurrences or any(
+        step.long_running for step in tracked.job.steps
+    ):
+        return Timeliness.IN_TIME
+    queue = tracked.job.queue
+    promised_s = queue.objective_s + queue.stretch * longest_chain_s(
+        tracked, remaining=False
+    )
+    expected_s = (
+        now_s - tracked.first_seen_s + longest_chain_s(tracked, remaining=True)
+    )
+    if expected_s <= promised_s:
+        return Timeliness.IN_TIME
+    if expected_s <= promised_s * USELESS_AFTER_OBJECTIVES:
+        return Timeliness.LATE
+    return Timeliness.USELESS
+
+
 def rank(
-    tracked: ledger.TrackedJob, *, entitled: bool, capacity: model.Resources
-) -> tuple[bool, int, float, float, str]:
+    tracked: ledger.TrackedJob,
+    *,
+    entitled: bool,
+    capacity: model.Resources,
+    now_s: float,
+) -> tuple[bool, int, Timeliness, float, float, str]:
     """Returns the sort key of a job; the lowest is placed first.
 
     Jobs within their account's guarantee come first. Then jobs are ordered by
-    their queue's priority, and then by remaining work, least first, so that as
-    many callers as possible get their results soon.
+    their queue's priority, then those that can still be in time before those
+    that can't, and then by remaining work, least first, so that as many callers
+    as possible get their results soon.
 
     Args:
         tracked: the job.
         entitled: whether the account's guarantee covers the job.
         capacity: capacity of the largest worker.
+        now_s: current monotonic time.
     """
     return (
         not entitled,
         tracked.job.queue.priority,
+        timeliness(tracked, now_s),
         remaining_work(tracked, capacity),
         tracked.first_seen_s,
         tracked.id,
