Let urgent gangs discard a share of their own work, and late jobs none

Cause: what an urgent job without a guarantee may discard was an amount in core-seconds. Where workers are large that is a moment of one member, so a wide gang waited until its caller had left; and a job that was late already still threw away the work of others.

Change: the limit is the larger of that amount and 0.3 of the work that the unit asks for itself. A job that can't be in time any more discards no more than what has just started, unless a guarantee covers it.

The test of the gang failed before and passes now; the test of the late job asks the limit itself, which took no such argument before.

--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -6,6 +6,7 @@
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.scheduling import placement
+from pimentobridge.core.scheduling import ranking
 from pimentobridge.core.scheduling import reclaim
 from pimentobridge.core.scheduling import victim_choice
 
@@ -88,7 +89,15 @@
                 return False
             assigned = chosen.assigned
             waited_s = now_s - tracked.first_seen_s
-            limit = reclaim.loss_limit(guaranteed=guaranteed, waited_s=waited_s)
+            in_time = (
+                ranking.timeliness(tracked, now_s) is ranking.Timeliness.IN_TIME
+            )
+            limit = reclaim.loss_limit(
+                guaranteed=guaranteed,
+                in_time=in_time,
+                waited_s=waited_s,
+                work=reclaim.own_work(demand),
+            )
             if chosen.lost_work <= limit:
                 for victim in chosen.victims:
                     self._stop_victim(victim, tracked, chosen.lost_work)
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -6,6 +6,7 @@
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.scheduling import guarantees
+from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import placement
 
 if TYPE_CHECKING:
@@ -14,15 +15,16 @@
     from pimentobridge.core import types
     from pimentobridge.core.jobs import progress
     from pimentobridge.core.scheduling import fleet
-    from pimentobridge.core.scheduling import ledger
 
 # Unsaved work that an urgent job may discard without waiting, in core-seconds.
 # That allows only for checkpointing runs, which count as 0, and for runs that
 # have just started.
 SMALL_LOSS = 50.0
-# Unsaved work that it may discard once it has waited for the time below, in
-# core-seconds.
+# Unsaved work that it may discard once it has waited for the time below, if it
+# can still be in time: the larger of an amount in core-seconds, and a share of
+# the work that it asks for itself.
 LARGE_LOSS = 400.0
+LARGE_LOSS_SHARE = 0.3
 WAIT_FOR_LARGE_LOSS_S = 1.0
 # A job within its account's guarantee may discard any amount of work after
 # waiting this long. The rest of the time that the platform allows is enough for
@@ -70,23 +72,38 @@
     step = entry.step
     if step.checkpointing:
         return 0.0
+    return _cores_of(step) * entry.execution_time_s(now_s)
+
+
+def _cores_of(step: model.Step) -> float:
+    """Returns what a task takes, with accelerators counted as cores."""
     cores = step.request.cpu_millicores / 1000
-    cores += step.request.accelerators * CORES_PER_ACCELERATOR
-    return cores * entry.execution_time_s(now_s)
+    return cores + step.request.accelerators * CORES_PER_ACCELERATOR
+
+
+def own_work(demand: placement.Demand) -> float:
+    """Returns the work that a unit is expected to do, in core-seconds."""
+    step = demand.step
+    estimate_s = step.estimate_s or ledger.DEFAULT_ESTIMATE_S
+    return demand.size * _cores_of(step) * estimate_s
 
 
-def loss_limit(*, guaranteed: bool, waited_s: float) -> float:
-    """Returns the work that an urgent job may discard, in core-seconds.
+def loss_limit(
+    *, guaranteed: bool, in_time: bool, waited_s: float, work: float
+) -> float:
+    """Returns the work that a unit may discard, in core-seconds.
 
     Args:
         guaranteed: whether its account's guarantee covers the job.
+        in_time: whether the job can still be done in time.
         waited_s: how long the job has waited for free resources, in seconds.
+        work: the work that the unit is expected to do.
     """
-    if waited_s < WAIT_FOR_LARGE_LOSS_S:
-        return SMALL_LOSS
     if guaranteed and waited_s >= WAIT_FOR_ANY_LOSS_S:
         return float("inf")
-    return LARGE_LOSS
+    if waited_s < WAIT_FOR_LARGE_LOSS_S or not (in_time or guaranteed):
+        return SMALL_LOSS
+    return max(LARGE_LOSS, LARGE_LOSS_SHARE * work)
 
 
 def next_rise_s(*, guaranteed: bool, waited_s: float) -> float | None:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import pass_requests
@@ -247,3 +249,59 @@
     harness.clock.advance(pass_requests.MIN_PASS_INTERVAL_S - 1e-12)
     harness.engine.request_due_pass()
     assert harness.engine.needs_pass
+
+
+def _stopped_for_a_gang(worked_s: float, waited_s: float) -> int:
+    """Returns how many runs stop for an urgent gang of four whole workers.
+
+    Each worker has a run that has worked for a time and saves nothing.
+    """
+    harness = engine_harness.EngineHarness(4)
+    whole = model.Step(4, engine_harness.WORKER, 60.0)
+    started = engine_harness.started(
+        harness.submit(engine_harness.job("b" * 16, whole, account="other"))
+    )
+
+    def report() -> int:
+        return sum(
+            len(harness.observe(number, running=(listed,)).stops)
+            for number, key in started
+            for listed in engine_harness.just_started(key)
+        )
+
+    report()
+    harness.clock.advance(worked_s)
+    report()
+    gang = model.Step(4, engine_harness.WORKER, 20.0, gang=True)
+    harness.submit(
+        engine_harness.job("c" * 16, gang, priority=0, account="other")
+    )
+    harness.clock.advance(waited_s)
+    report()
+    harness.plan()
+    return report()
+
+
+# Guards against urgent gangs that never start where workers are large: a fixed
+# amount of work is a moment of one member there.
+def test_a_wide_urgent_gang_may_discard_a_share_of_its_own_work() -> None:
+    assert _stopped_for_a_gang(worked_s=4.0, waited_s=1.2) == 4
+    assert _stopped_for_a_gang(worked_s=8.0, waited_s=1.2) == 0
+
+
+# Guards against waste: work was thrown away for callers who had left.
+@pytest.mark.parametrize(
+    ("guaranteed", "in_time", "limit"),
+    [
+        (False, True, 600.0),
+        (False, False, reclaim.SMALL_LOSS),
+        # The guarantee holds however long the job has waited.
+        (True, False, float("inf")),
+    ],
+)
+def test_a_job_that_will_be_late_discards_no_unsaved_work(
+    guaranteed: bool, in_time: bool, limit: float
+) -> None:
+    assert limit == reclaim.loss_limit(
+        guaranteed=guaranteed, in_time=in_time, waited_s=30.0, work=2000.0
+    )
