--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import base64
+from typing import TYPE_CHECKING
+from typing import Any
+
 import trio
 import trio.testing
 
@@ -14,6 +18,9 @@
 from pimentobridge.testing import platform_store
 from pimentobridge.testing import slow_client
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ANSWER_S = 0.9
 OBSERVED_S = 12.0
 SAMPLING_INTERVAL_S = 0.05
@@ -29,10 +36,9 @@
         raise AssertionError
 
 
-async def _share_of_time_as_leader(answer_s: float) -> float:
-    store = platform_store.PlatformStore(trio.current_time)
-    client = slow_client.SlowClient(store)
-    kv = kv_store.KvStore(client)
+def _new_leadership(
+    kv: kv_store.KvStore,
+) -> tuple[store_mirror.StoreMirror, leadership_lib.Leadership]:
     clock = trio_clock.TrioClock(trio_clock.FIXED_ORIGIN)
     mirror = store_mirror.StoreMirror(
         store=kv, prefix=keys.PREFIX, clock=clock, on_change=lambda _: None
@@ -46,6 +52,13 @@
         clock=clock,
         deputies=NoDeputies(),
     )
+    return mirror, leadership
+
+
+async def _share_of_time_as_leader(answer_s: float) -> float:
+    store = platform_store.PlatformStore(trio.current_time)
+    client = slow_client.SlowClient(store)
+    mirror, leadership = _new_leadership(kv_store.KvStore(client))
     samples = []
     async with trio.open_nursery() as nursery:
         nursery.start_soon(mirror.run)
@@ -60,21 +73,57 @@
     return sum(samples) / len(samples)
 
 
-def _in_virtual_time(answer_s: float) -> float:
+def _run(function: Callable[..., Any], *args: object) -> Any:
+    """Runs an asynchronous function in virtual time."""
     return trio.run(
-        _share_of_time_as_leader,
-        answer_s,
-        clock=trio.testing.MockClock(autojump_threshold=0),
+        function, *args, clock=trio.testing.MockClock(autojump_threshold=0)
     )
 
 
 # Guards against SHORT (issue 23): jobs waited because the scheduler gave up the
 # renewals of its lease before a slow store had answered them.
 def test_a_slow_store_doesnt_end_a_term() -> None:
-    assert _in_virtual_time(ANSWER_S) == 1.0
+    assert _run(_share_of_time_as_leader, ANSWER_S) == 1.0
 
 
 # Guards against two schedulers: a lease that no answer confirms must end.
 def test_a_silent_store_ends_a_term() -> None:
-    share = _in_virtual_time(float("inf"))
+    share = _run(_share_of_time_as_leader, float("inf"))
     assert share <= leadership_lib.LEASE_S / OBSERVED_S
+
+
+async def _tokens_around_a_replaced_key(value: bytes) -> list[int | None]:
+    """Returns the tokens before, just after and long after a replacement."""
+    store = platform_store.PlatformStore(trio.current_time)
+    mirror, leadership = _new_leadership(
+        kv_store.KvStore(slow_client.SlowClient(store))
+    )
+    tokens = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(mirror.run)
+        nursery.start_soon(leadership.run)
+        await trio.sleep(OBSERVED_S)
+        tokens.append(leadership.token)
+        store.put(keys.LEADER, base64.b64encode(value).decode())
+        await trio.sleep(leadership_lib.LEASE_S / 2)
+        tokens.append(leadership.token)
+        await trio.sleep(OBSERVED_S)
+        tokens.append(leadership.token)
+        nursery.cancel_scope.cancel()
+    return tokens
+
+
+# Guards against two schedulers: one whose key another process had written went
+# on until its next write.
+def test_a_term_ends_when_another_process_has_the_key() -> None:
+    other = b'{"address": "tcp://entry-1:7000", "nonce": "entry-1-1"}'
+    before, after, _ = _run(_tokens_around_a_replaced_key, other)
+    assert before is not None
+    assert after is None
+
+
+def test_a_key_with_an_unreadable_value_is_taken_with_a_higher_token() -> None:
+    before, _, later = _run(_tokens_around_a_replaced_key, b"odd")
+    assert before is not None
+    assert later is not None
+    assert later > before
