--- a/pimentobridge/lab/soak.py
+++ b/pimentobridge/lab/soak.py
@@ -26,6 +26,7 @@
 from pimentobridge.lab import simulation
 from pimentobridge.platform import operator_configuration
 from pimentobridge.testing import loopback_proxy
+from pimentobridge.testing import odd_entries
 from pimentobridge.testing import platform_processes
 from pimentobridge.testing import platform_servers
 
@@ -113,6 +114,10 @@
         self._runner_proxies: list[loopback_proxy.LoopbackProxy] = []
         self._faults: list[str] = []
         self._active_faults: set[str] = set()
+        # Processes that a fault has ended and that aren't restarted yet.
+        self._ended: set[str] = set()
+        # Exits that no fault has caused.
+        self._exits: list[str] = []
 
     @property
     def _store_address(self) -> tuple[str, int]:
@@ -142,7 +147,7 @@
         return SoakResult(
             seed=self._seed,
             seconds=self._seconds,
-            findings=self._checker.finish(),
+            findings=self._checker.finish() + self._exits,
             faults=self._faults,
             submitted=len(jobs),
             accepted=sum(job.accepted for job in jobs),
@@ -188,6 +193,9 @@
             await trio.sleep(RESTART_DELAY_S)
             for name in self._store_proxies_by_process:
                 if self._processes.has_exited(name):
+                    if name not in self._ended:
+                        self._exits.append(f"{name} ended by itself")
+                    self._ended.discard(name)
                     self._processes.start(name)
 
     async def _wait_ready(self) -> None:
@@ -273,6 +281,7 @@
             self._crash_runner,
             self._make_tasks_deadly,
             self._shrink_capacity,
+            self._leave_odd_entries,
         ]
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until_s:
@@ -303,17 +312,24 @@
         del duration_s
         name = self._random_process()
         with self._recorded_fault(f"kill {name}"):
-            self._processes.signal(name, signal.SIGKILL)
+            self._end(name, signal.SIGKILL)
 
     async def _terminate(self, duration_s: float) -> None:
         del duration_s
         name = self._random_process()
         with self._recorded_fault(f"terminate {name}"):
-            self._processes.signal(name, signal.SIGTERM)
+            self._end(name, signal.SIGTERM)
             with trio.move_on_after(TERMINATION_GRACE_S):
                 while not self._processes.has_exited(name):
                     await trio.sleep(0.05)
-            self._processes.signal(name, signal.SIGKILL)
+            if not self._processes.has_exited(name):
+                self._end(name, signal.SIGKILL)
+
+    def _end(self, name: str, number: signal.Signals) -> None:
+        """Ends a process, unless it has exited."""
+        if not self._processes.has_exited(name):
+            self._ended.add(name)
+            self._processes.signal(name, number)
 
     async def _pause(self, duration_s: float) -> None:
         name = self._random_process()
@@ -404,6 +420,14 @@
             await trio.sleep(duration_s)
             runner.resize(before)
 
+    async def _leave_odd_entries(self, duration_s: float) -> None:
+        """Another writer leaves entries in the store that can't be read."""
+        del duration_s
+        with self._recorded_fault("leave odd entries"):
+            for key, value in odd_entries.values_by_key().items():
+                encoded = base64.b64encode(value).decode()
+                self._platform.store.put(key, encoded)
+
 
 async def _status(url: str) -> int:
     """Returns the status of a GET request, or 0 if there was no response."""
