Begin a new term after a report that couldn't be processed

Cause: since errors in a message no longer end the process, an error while the ends of a worker's runs were processed left the scheduler with a state that lacked them. The end counted as processed, the run as refused, and the task was run again: the new case in tests/test_containment.py gave 2 starts.

Change: what such a worker says of its runs is neither processed nor acknowledged any more in this term, it gets no new tasks, and the entry gives the term up once it has lasted 10 s, so that the next scheduler reads everything again. The case gives 1 start now, and the job is completed.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -56,6 +56,7 @@
         dirty_by_id: jobs with changes that aren't recorded in the store yet.
         needs_pass: a scheduling pass of the planner is due.
         passes: requests for passes at a time.
+        incomplete: an error has ended the processing of a worker's report.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.configuration: configuration.JobConfiguration | None = None
         self.passes = pass_requests.PassRequests(clock)
         self.needs_pass = True
+        self.incomplete = False
         self.advice = advice_lib.AdviceCache()
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
@@ -190,7 +192,24 @@
     def observe(
         self, agent: types.Address, observation: runs.Observation
     ) -> None:
-        """Processes an agent's report on its worker."""
+        """Processes an agent's report on its worker.
+
+        After an unexpected error, which is raised, nothing that the worker says
+        of its runs is processed or acknowledged any more: what is known of them
+        may be incomplete, and another scheduler can still read it all.
+        """
+        try:
+            self._process_report(agent, observation)
+        except Exception:
+            self.incomplete = True
+            key = observation.incarnation.key
+            if key in self.workers_by_incarnation:
+                self.workers_by_incarnation[key].distrusted = True
+            raise
+
+    def _process_report(
+        self, agent: types.Address, observation: runs.Observation
+    ) -> None:
         key = observation.incarnation.key
         latest = self.incarnation_by_agent.get(agent)
         if latest is not None and latest.started_ms > key.started_ms:
@@ -202,7 +221,8 @@
         self._update_incarnation(worker, agent, observation.incarnation)
         worker.reachable = observation.reachable
         worker.agent_state = observation.agent_state
-        self._apply_reported_runs(worker, observation)
+        if not worker.distrusted:
+            self._apply_reported_runs(worker, observation)
         if not worker.reachable:
             gangs.stop_incomplete(
                 worker, self.workers_by_incarnation, self._log
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -47,6 +47,8 @@
         used: resources reserved by tracked and untracked runs.
         reachable: whether its agent could connect to it lately.
         agent_state: what its agent said last of itself.
+        distrusted: an error has ended the processing of one of its reports, so
+            that what is known of its runs may be incomplete.
     """
 
     key: runs.IncarnationKey
@@ -70,6 +72,7 @@
     used: model.Resources = model.NO_RESOURCES
     reachable: bool = True
     agent_state: runs.AgentState = runs.AgentState.SERVING
+    distrusted: bool = False
     health: health_lib.Health = dataclasses.field(
         default_factory=health_lib.Health
     )
@@ -115,6 +118,7 @@
         return (
             self.incarnation is not None
             and not self.incarnation.draining
+            and not self.distrusted
             and self.reachable
             and self.agent_state is runs.AgentState.SERVING
             and now_s - self.last_report_s <= MAX_REPORT_AGE_S
@@ -123,7 +127,7 @@
 
     def acknowledge_ends(self) -> None:
         """Advances `acknowledged_end` past the ends recorded by now."""
-        while self.unacknowledged_ends:
+        while self.unacknowledged_ends and not self.distrusted:
             number, tracked, change = self.unacknowledged_ends[0]
             if tracked is not None and tracked.recorded_change < change:
                 return
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -42,6 +42,8 @@
 # few attempts without a report the connection is replaced.
 RESEND_INTERVAL_S = 0.3
 RECONNECT_AFTER_S = 1.2
+# A term that is given up because of an error lasts at least this long.
+MIN_TERM_S = 10.0
 
 
 class AgentLink:
@@ -109,6 +111,7 @@
         self._leadership = leadership
         self._settings = settings
         self._entries = entries
+        self._started_s = clock.monotonic()
         self._wake = trio.Event()
         self._links_by_agent: dict[types.Address, AgentLink] = {}
         self.engine = engine_lib.Engine(
@@ -152,7 +155,11 @@
         )
 
     async def run(self) -> None:
-        """Runs scheduling steps until cancelled."""
+        """Runs scheduling steps until cancelled.
+
+        Returns if what is known of a worker's runs is incomplete, so that a new
+        term reads it again.
+        """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.recorder.run)
             nursery.start_soon(self._retention.run)
@@ -161,6 +168,14 @@
             while True:
                 started_s = trio.current_time()
                 wait_s = STEP_INTERVAL_S
+                if self._must_give_up:
+                    logs.event(
+                        "scheduling given up",
+                        token=self.token,
+                        why="a report couldn't be processed",
+                    )
+                    nursery.cancel_scope.cancel()
+                    return
                 if self._leadership.is_leader:
                     self._run_step()
                     wait_s = min(wait_s, self.engine.passes.time_to_due_s)
@@ -170,6 +185,15 @@
                     await self._wake.wait()
                 self._wake = trio.Event()
 
+    @property
+    def _must_give_up(self) -> bool:
+        """Whether to begin a new term, which reads all state again.
+
+        A report that no scheduler can process must not end every term at once.
+        """
+        age_s = self._clock.monotonic() - self._started_s
+        return self.engine.incomplete and age_s >= MIN_TERM_S
+
     def put_job(
         self,
         job: model.Job,
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -10,6 +10,7 @@
 from pimentobridge.bench import harness
 from pimentobridge.core.scheduling import engine
 from pimentobridge.core.scheduling import planner
+from pimentobridge.daemons import scheduling
 from pimentobridge.lab import callers
 from pimentobridge.lab import world as world_lib
 
@@ -24,8 +25,14 @@
 ENOUGH_S = 8.0
 
 
-async def _state_of_a_job() -> tuple[bytes, list[bool]]:
-    """Returns a job's state, and whether each entry's process goes on."""
+async def _state_of_a_job(
+    wait_s: float = 0.0,
+) -> tuple[bytes, list[bool], int]:
+    """Returns a job's state, whether each process goes on, and the starts.
+
+    Args:
+        wait_s: how much longer than usual to wait for the state, in seconds.
+    """
     async with trio.open_nursery() as nursery:
         world = world_lib.World(
             rng=random.Random(1), nursery=nursery, entries=2, workers=1
@@ -37,13 +44,12 @@
         call = callers.make_call(world, "shop")
         status, _ = await call("POST", f"/queue-1/{JOB}", BODY)
         assert status == 200
-        await trio.sleep(ENOUGH_S)
+        await trio.sleep(ENOUGH_S + wait_s)
         _, answer = await call("GET", f"/queue-1/{JOB}", b"")
         after = [host.entry for host in world.entries]
         nursery.cancel_scope.cancel()
-    return answer, [
-        first is last for first, last in zip(before, after, strict=True)
-    ]
+    same = [first is last for first, last in zip(before, after, strict=True)]
+    return answer, same, world.checker.started
 
 
 class _FailsOnce:
@@ -76,7 +82,23 @@
 ) -> None:
     failure = _FailsOnce(monkeypatch)
     failure.patch(owner, name)
-    answer, same_processes = harness.run_virtual(_state_of_a_job, seed=1)
+    answer, same_processes, _ = harness.run_virtual(_state_of_a_job, seed=1)
+    assert failure.raised == 1
+    assert same_processes == [True, True]
+    assert answer == b'{"state":"completed"}'
+
+
+# Guards against work that is run twice: an end whose processing failed stays
+# with the worker until the next scheduler records it.
+def test_an_end_that_could_not_be_processed_is_read_by_the_next_scheduler(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    failure = _FailsOnce(monkeypatch)
+    failure.patch(engine.Engine, "_on_end")
+    answer, same_processes, started = harness.run_virtual(
+        lambda: _state_of_a_job(wait_s=scheduling.MIN_TERM_S), seed=1
+    )
     assert failure.raised == 1
     assert same_processes == [True, True]
     assert answer == b'{"state":"completed"}'
+    assert started == 1
