--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -15,6 +15,7 @@
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
+    from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import engine as engine_lib
     from pimentobridge.core.scheduling import fleet
     from pimentobridge.core.scheduling import ledger
@@ -65,57 +66,77 @@
         Returns:
             Whether resources are reserved for the unit in this pass.
         """
-        now_s = self._clock.monotonic()
-        guaranteed = tracked.id in entitled
         projected = dict(candidates.free_by_key)
         for key, amount in self._ending_by_key.items():
             projected[key] += amount
         assigned = placement.place(candidates, demand, free_by_key=projected)
         if assigned is None:
-            chosen = victim_choice.choose(
+            assigned = self._preempt(
                 candidates,
+                tracked,
                 demand,
                 free_by_key=projected,
-                victims=self._possible_victims(
-                    candidates,
-                    entitled,
-                    priority=tracked.job.queue.priority,
-                    guaranteed=guaranteed,
-                    now_s=now_s,
-                ),
-                now_s=now_s,
-            )
-            if chosen is None:
-                return False
-            assigned = chosen.assigned
-            waited_s = now_s - tracked.first_seen_s
-            in_time = (
-                ranking.timeliness(tracked, now_s) is ranking.Timeliness.IN_TIME
-            )
-            limit = reclaim.loss_limit(
-                guaranteed=guaranteed,
-                in_time=in_time,
-                waited_s=waited_s,
-                work=reclaim.own_work(demand),
+                entitled=entitled,
             )
-            if chosen.lost_work <= limit:
-                for victim in chosen.victims:
-                    self._stop_victim(victim, tracked, chosen.lost_work)
-            else:
-                # A pass is due then even without another change.
-                rise_s = reclaim.next_rise_s(
-                    guaranteed=guaranteed, waited_s=waited_s
-                )
-                if rise_s is not None:
-                    self._engine.passes.request_at(now_s + rise_s)
-                if not guaranteed:
-                    return False
+        if assigned is None:
+            return False
         # Reserves the resources being freed, so that jobs of lower rank don't
         # get them.
         for key in assigned:
             candidates.reserve(key, demand.step.footprint)
         return True
 
+    def _preempt(
+        self,
+        candidates: placement.Candidates,
+        tracked: ledger.TrackedJob,
+        demand: placement.Demand,
+        *,
+        free_by_key: placement.FreeResources,
+        entitled: set[types.JobId],
+    ) -> list[runs.IncarnationKey] | None:
+        """Stops runs for a unit if that doesn't discard too much.
+
+        Returns:
+            A worker for each member, or None if nothing is to be reserved. For
+            a job that its account's guarantee covers, workers are reserved also
+            while it has to wait before it may discard more.
+        """
+        now_s = self._clock.monotonic()
+        guaranteed = tracked.id in entitled
+        chosen = victim_choice.choose(
+            candidates,
+            demand,
+            free_by_key=free_by_key,
+            victims=self._possible_victims(
+                candidates,
+                entitled,
+                priority=tracked.job.queue.priority,
+                guaranteed=guaranteed,
+                now_s=now_s,
+            ),
+            now_s=now_s,
+        )
+        if chosen is None:
+            return None
+        timeliness = ranking.timeliness(tracked, now_s)
+        waited_s = now_s - tracked.first_seen_s
+        limit = reclaim.loss_limit(
+            guaranteed=guaranteed,
+            in_time=timeliness is ranking.Timeliness.IN_TIME,
+            waited_s=waited_s,
+            work=reclaim.own_work(demand),
+        )
+        if chosen.lost_work <= limit:
+            for victim in chosen.victims:
+                self._stop_victim(victim, tracked, chosen.lost_work)
+            return chosen.assigned
+        # A pass is due when the limit rises, even without another change.
+        rise_s = reclaim.next_rise_s(guaranteed=guaranteed, waited_s=waited_s)
+        if rise_s is not None:
+            self._engine.passes.request_at(now_s + rise_s)
+        return chosen.assigned if guaranteed else None
+
     def _possible_victims(
         self,
         candidates: placement.Candidates,
--- a/pimentobridge/daemons/keys.py
+++ b/pimentobridge/daemons/keys.py
@@ -69,12 +69,12 @@
     return None
 
 
-def addresses_in(items: Iterable[str], prefix: str) -> list[types.Address]:
+def addresses_in(stored: Iterable[str], prefix: str) -> list[types.Address]:
     """Returns the addresses in the keys that start with a prefix.
 
     Args:
-        items: keys of the store.
+        stored: keys of the store.
         prefix: `AGENTS` or `ENTRIES`.
     """
-    found = (address_of(key) for key in items if key.startswith(prefix))
+    found = (address_of(key) for key in stored if key.startswith(prefix))
     return [address for address in found if address is not None]
