--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -431,7 +431,9 @@
     async def _give_up_term(self) -> None:
         """Leaves the scheduling to another entry after an unexpected error."""
         self.scheduler = None
-        await self.leadership.resign()
+        # The end of the term cancels this task; the key is released first.
+        with trio.CancelScope(shield=True):
+            await self.leadership.resign()
 
     async def _run_term(self) -> None:
         scheduler = scheduling.Scheduler(
