--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -227,9 +227,9 @@
     monkeypatch.setattr(
         unreadable.logs, "event", lambda message, **_: logged.append(message)
     )
-    item = kv_store.Item(
-        keys.job(types.JobId("0" * 16)), odd_entries.NESTED_RECORD, 1
-    )
+    # Other tests leave other jobs' records.
+    key = keys.job(types.JobId("9" * 16))
+    item = kv_store.Item(key, odd_entries.NESTED_RECORD, 1)
     assert job_items.read_job(item) is None
     assert job_items.read_job(item) is None
     assert logged == ["unreadable data skipped"]
