--- a/pimentobridge/core/decoding.py
+++ b/pimentobridge/core/decoding.py
@@ -27,7 +27,7 @@
 MAX_INTEGER = 2**53
 # Limit on the text that an error quotes from a decoder's message.
 MAX_REASON_LENGTH = 200
-DIGEST_LENGTH = 12
+DIGEST_LENGTH = 12  # hexadecimal digits
 
 # Amounts, counts and times in external data. Values beyond the limit could be
 # decoded, but neither encoded again nor converted.
