Show that a lost worker's job is never run again if workers differ in size

Sorting the shapes of a mixed fleet raises a TypeError, which ends each scheduler about a second after it has begun, so that no lost worker's lease ever expires for it.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 
 ENTRIES = 2
 WORKERS = 8
-ROUNDS = 3
+ROUNDS = 6
 GPUS = 8
 WORK_S = 4.0
 SUBMIT_AFTER_S = 0.2
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -32,6 +32,8 @@
 START_TIMEOUT_S = 40.0
 STATE_INTERVAL_S = 0.5
 MAX_ATTEMPTS = 3
+# Accelerators of a worker.
+GPUS = 8
 PORTS = ("front", "ready", "control", "app", "store", "link", "internal")
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -101,11 +103,17 @@
     Args:
         entries: number of entries.
         workers: number of workers, each with an agent.
+        small_workers: how many of them, the last ones, have half the capacity.
         links: whether proxies stand between the agents and their runners.
     """
 
     def __init__(
-        self, *, entries: int, workers: int, links: bool = False
+        self,
+        *,
+        entries: int,
+        workers: int,
+        small_workers: int = 0,
+        links: bool = False,
     ) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self._events = self.folder / "events.jsonl"
@@ -117,6 +125,7 @@
         self._popen_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._entries = entries
         self.workers = workers
+        self._large_workers = workers - small_workers
         self._has_links = links
         self._links_by_worker: dict[int, list[link.Link]] = {}
         self.started_s = time.monotonic()
@@ -234,13 +243,14 @@
 
     def start_runner(self, number: int, worker: str) -> None:
         """Starts a life of a worker's runner, under an id."""
+        gpu = GPUS if number < self._large_workers else GPUS // 2
         self._launch(
             f"runner-{number}",
             [sys.executable, str(pathlib.Path(__file__).with_name("runner.py"))]
             + ["--id", worker, "--listen", self._runner(number)]
             + ["--control", self.control_of(number), "--service", SERVICE]
             + ["--zone", "sapa", "--rack", f"r1-{number // 3}"]
-            + ["--record", str(self._events)],
+            + ["--record", str(self._events), "--gpu", str(gpu)],
         )
 
     def crash_runner(self, number: int) -> None:
@@ -250,6 +260,14 @@
         popen.wait()
         self.record("crash", runner=f"i-{number:08x}", number=number)
 
+    def remove_machine(self, number: int) -> None:
+        """Ends a worker's runner and its agent, for good."""
+        for role in ("runner", "agent"):
+            popen = self._popen_by_name[f"{role}-{number}"]
+            popen.kill()
+            popen.wait()
+        self.record("machine removed", worker=number)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process by its name."""
         self.record("signal", process=name, signal=number.name)
