--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,50 +1,68 @@
-"""Lets a task that lasts fail on each worker but the one in use."""
+"""Sends each agent one heartbeat of another writer, with an unknown service."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
 import sys
+import time
 
 import deployment as deployment_lib
+import wire
 
 ENTRIES = 2
-WORKERS = 3
-# Both jobs last, and each of their tasks needs a whole worker.
-FAIL_AFTER_S = 2.0
-# The rule holds from 6 s after a task's last run, for 3 s with the 4 s before
-# them calm. Twice that time is waited for.
-CHECK_AFTER_S = 26.0
+WORKERS = 4
+JOBS = 4
+WORK_S = 2.0
+# The users' finish_s, after which nothing may wait while workers are idle.
+FINISH_S = 14.0
+IDLE_S = 3.0
+
+
+def _odd_heartbeat() -> dict[str, object]:
+    return {
+        "service": "not-configured",
+        "address": "127.0.0.1:9",
+        "zone": "sapa",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "capacity": {"cpu": 128000, "memMb": 524288, "gpu": 8},
+        "labels": ["a", "r1-0"],
+        "clockMs": 1000,
+        "sequence": 1,
+        "born": int(time.time() * 1000),
+    }
 
 
 async def _play(deployment: deployment_lib.Deployment) -> str:
-    other, job = deployment_lib.new_job_id(), deployment_lib.new_job_id()
-    await deployment.submit(other, task={}, gpu=8, longRunning=True)
-    await deployment.wait_for("start", 20.0, task=f"{other}.0.0.0")
-    failing_runs = WORKERS - 1 if deployment_lib.has_trouble() else 0
-    await deployment.submit(
-        job,
-        task={"failing_runs": failing_runs, "fail_after_s": FAIL_AFTER_S},
-        gpu=8,
-        longRunning=True,
-    )
-    for number in range(failing_runs):
-        await deployment.wait_for(
-            "end", 20.0, task=f"{job}.0.0.0", run=number + 1, how="failed"
+    if deployment_lib.has_trouble():
+        for number in range(WORKERS):
+            status, _ = await wire.call(
+                deployment.control_of(number),
+                "POST",
+                f"/v1/instances/i-other-{number}/heartbeat",
+                _odd_heartbeat(),
+            )
+            deployment.record("odd heartbeat", worker=number, status=status)
+    await asyncio.sleep(2.0)
+    jobs = [deployment_lib.new_job_id() for _ in range(JOBS)]
+    for job in jobs:
+        await deployment.submit(
+            job, task={"seconds": WORK_S}, gpu=2, estimateMs=2000
         )
-    await asyncio.sleep(CHECK_AFTER_S)
-    state = await deployment.state_of(job)
-    starts = [
-        event["runner"]
-        for event in deployment.events()
-        if event["event"] == "start" and event["task"] == f"{job}.0.0.0"
-    ]
-    if len(starts) > failing_runs:
+    await asyncio.sleep(FINISH_S)
+    states = {job: await deployment.state_of(job) for job in jobs}
+    await asyncio.sleep(IDLE_S)
+    running = [e for e in deployment.events() if e["event"] == "start"]
+    waiting = [job for job, state in states.items() if state != "completed"]
+    if not waiting or running:
         return ""
     return (
-        f"LOST: {CHECK_AFTER_S:g} s after its last run, the task that lasts of"
-        f" job {job} ({state!r}) isn't started again; it ran on {starts}, which"
-        " are idle since"
+        f"LOST: {len(waiting)} of {JOBS} accepted jobs have nothing running"
+        f" {FINISH_S + IDLE_S:g} s after they were handed in, while all"
+        f" {WORKERS} workers are idle; states: {sorted(states.values())}"
     )
 
 
