--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -321,7 +321,12 @@
         worker = self.workers_by_incarnation.pop(key, None)
         if worker is None:
             return
-        self._log("worker lost", worker=key.worker, reason=reason)
+        self._log(
+            "worker lost",
+            worker=key.worker,
+            born_ms=key.started_ms,
+            reason=reason,
+        )
         for run in list(worker.entries_by_key):
             self._release_run(worker, run, reason)
         self.needs_pass = True
@@ -342,6 +347,14 @@
                 )
         if untracked.keys() != worker.untracked_by_key.keys():
             self.needs_pass = True
+            for run in untracked.keys() - worker.untracked_by_key.keys():
+                self._log(
+                    "untracked run listed",
+                    task=run.task,
+                    run=run.run,
+                    worker=worker.key.worker,
+                    born_ms=worker.key.started_ms,
+                )
         worker.set_untracked(untracked)
         worker.running_keys = frozenset(
             task.key for task in observation.running
@@ -461,6 +474,7 @@
             task=key.task,
             run=key.run,
             worker=worker.key.worker,
+            born_ms=worker.key.started_ms,
             reason=reason,
         )
         if unit.run != entry.run or (
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -335,6 +335,7 @@
                 task=order.key.task,
                 run=order.key.run,
                 worker=incarnation.worker,
+                born_ms=incarnation.started_ms,
                 token=token,
                 outcome=outcome.value,
             )
@@ -394,6 +395,7 @@
                 task=key.task,
                 run=key.run,
                 worker=incarnation.worker,
+                born_ms=incarnation.started_ms,
                 token=token,
                 outcome=outcome.value,
             )
@@ -459,7 +461,10 @@
             self._view.contact.on_possible_arrival()
         if isinstance(response, runner_lib.PollFailure):
             logs.event(
-                "look failed", worker=incarnation.worker, why=response.value
+                "look failed",
+                worker=incarnation.worker,
+                born_ms=incarnation.started_ms,
+                why=response.value,
             )
             unreachable = response is runner_lib.PollFailure.UNREACHABLE
             if unreachable and self._view.contact.on_unreachable():
