Bind each order to an incarnation by the connection that carries it

Cause: a call names the runner's id only, and a runner that starts again keeps it. A start that was tried again reached the next incarnation, which carried it out; the scheduler then released the run with the incarnation that it had been placed on.

Change: a connection ends with the process that has accepted it. The agent polls once on each new connection and sends orders and polls for an incarnation only on connections on which that incarnation has identified itself.

--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -17,6 +17,7 @@
 from pimentobridge.daemons import worker_view
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
+from pimentobridge.platform import runner_status
 from pimentobridge.protocol import control
 from pimentobridge.protocol import documents
 
@@ -325,7 +326,7 @@
                 continue
             token = self._token
             outcome = await self._runner.start(
-                incarnation.worker,
+                incarnation,
                 order,
                 token=token,
                 lease_until_s=self._view.lease_until_s(self._clock.monotonic()),
@@ -339,6 +340,8 @@
                 token=token,
                 outcome=outcome.value,
             )
+            if not self._is_current(incarnation):
+                return
             if outcome is not runner_lib.StartResult.UNREACHABLE:
                 self._view.contact.on_possible_arrival()
             if outcome is runner_lib.StartResult.UNKNOWN:
@@ -387,9 +390,7 @@
         """
         while self._is_current(incarnation) and self._may_act():
             token = self._token
-            outcome = await self._runner.stop(
-                incarnation.worker, key, token=token
-            )
+            outcome = await self._runner.stop(incarnation, key, token=token)
             logs.event(
                 "stop ordered",
                 task=key.task,
@@ -447,7 +448,7 @@
         incarnation = self._worker.key
         renew = self._may_act() and self._view.has_polled
         response = await self._runner.poll(
-            incarnation.worker,
+            incarnation,
             token=self._token,
             acknowledged_end=self._view.acknowledged_end,
             lease_until_s=self._view.lease_until_s(self._clock.monotonic())
@@ -457,26 +458,19 @@
         )
         if not self._is_current(incarnation):
             return False
-        if response is not runner_lib.PollFailure.UNREACHABLE:
+        if response is not runner_status.PollFailure.UNREACHABLE:
             self._view.contact.on_possible_arrival()
-        if isinstance(response, runner_lib.PollFailure):
+        if isinstance(response, runner_status.PollFailure):
             logs.event(
                 "look failed",
                 worker=incarnation.worker,
                 born_ms=incarnation.started_ms,
                 why=response.value,
             )
-            unreachable = response is runner_lib.PollFailure.UNREACHABLE
+            unreachable = response is runner_status.PollFailure.UNREACHABLE
             if unreachable and self._view.contact.on_unreachable():
                 self._wake_report.set()
             return False
-        if response.born_ms not in (0, incarnation.started_ms):
-            logs.event(
-                "worker restarted",
-                worker=incarnation.worker,
-                born_ms=response.born_ms,
-            )
-            return False
         if self._view.is_outdated(response):
             return True
         self._apply_status(response)
@@ -494,7 +488,7 @@
         self._note_end_of_incarnation()
         self._wake_report.set()
 
-    def _apply_status(self, status: runner_lib.RunnerStatus) -> None:
+    def _apply_status(self, status: runner_status.RunnerStatus) -> None:
         self._started_runs.on_over(end.key for end in status.ended)
         if self._view.apply(status, self._clock.monotonic()):
             self._wake_report.set()
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -43,7 +43,9 @@
     agent = worker_agent.WorkerAgent(
         settings=settings,
         endpoint=zmq_transport.ZmqEndpoint(address),
-        runner=runner_lib.Runner(http_client.HttpClient(settings.worker)),
+        runner=runner_lib.Runner(
+            lambda: http_client.HttpConnection(settings.worker)
+        ),
         store=store,
         clock=boot_clock.BootClock(),
         entries=tuple(
--- a/pimentobridge/daemons/worker_view.py
+++ b/pimentobridge/daemons/worker_view.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Set as AbstractSet
 
-    from pimentobridge.platform import runner as runner_lib
+    from pimentobridge.platform import runner_status
 
 
 class WorkerView:
@@ -64,11 +64,11 @@
         self.refused &= ordered
         self.stop_confirmed &= ordered
 
-    def is_outdated(self, status: runner_lib.RunnerStatus) -> bool:
+    def is_outdated(self, status: runner_status.RunnerStatus) -> bool:
         """Whether a newer answer has arrived before this one."""
         return status.clock_s < self._clock_s
 
-    def apply(self, status: runner_lib.RunnerStatus, now_s: float) -> bool:
+    def apply(self, status: runner_status.RunnerStatus, now_s: float) -> bool:
         """Takes the newest answer to a poll.
 
         Returns:
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -208,6 +208,16 @@
         world.workers[number].crash_runner()
 
 
+async def _restart_runners_behind_cut(
+    world: world_lib.World, fault: Fault
+) -> None:
+    async with trio.open_nursery() as nursery:
+        for number in fault.targets:
+            nursery.start_soon(
+                world.workers[number].restart_runner_behind_cut, fault.for_s
+            )
+
+
 async def _isolate_agents(world: world_lib.World, fault: Fault) -> None:
     addresses = {world.workers[number].address for number in fault.targets}
     world.network.faults.isolated |= addresses
@@ -316,6 +326,7 @@
     "workers lose power": _power_off_workers,
     "runners crash": _crash_runners,
     "runners drain": _drain_runners,
+    "runners restart behind a cut": _restart_runners_behind_cut,
     "agents cut off": _isolate_agents,
     "entries cut off": _isolate_entries,
     "connections silent": _silence_connections,
--- a/pimentobridge/lab/faulty_client.py
+++ b/pimentobridge/lab/faulty_client.py
@@ -140,3 +140,82 @@
     ) -> None:
         await trio.sleep(self._rng.uniform(MIN_LATENESS_S, MAX_LATENESS_S))
         await self._handler(method, path, body, headers)
+
+
+@dataclasses.dataclass
+class Server:
+    """A process that has accepted a connection.
+
+    Attributes:
+        handler: carries out a call.
+        is_up: returns whether the process still runs.
+    """
+
+    handler: Handler
+    is_up: Callable[[], bool]
+
+
+class FaultyConnection:
+    """One connection to a simulated service, under the same faults.
+
+    It ends with the process that has accepted it. A call that fails closes it.
+
+    Args:
+        accept: returns the process that accepts the connection, at the time of
+            the first call; None if none runs.
+        connect: returns a client of an accepting process.
+        is_silent: returns whether packets are lost on the way.
+    """
+
+    def __init__(
+        self,
+        *,
+        accept: Callable[[], Server | None],
+        connect: Callable[[Handler], FaultyClient],
+        is_silent: Callable[[], bool],
+    ) -> None:
+        self._accept = accept
+        self._connect = connect
+        self._is_silent = is_silent
+        self._server: Server | None = None
+        self._client: FaultyClient | None = None
+        self._closed = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection is open, as far as the caller can see."""
+        if self._closed or self._server is None:
+            return False
+        return self._server.is_up() or self._is_silent()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: object | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> http_client.Answer | http_client.Failure:
+        """Returns the response to a call, or why there is none."""
+        if self._client is None:
+            self._client = await self._open(timeout_s)
+        if self._client is None:
+            return http_client.Failure.NOT_SENT
+        answer = await self._client.call(
+            method, path, timeout_s=timeout_s, body=body, headers=headers
+        )
+        self._closed = isinstance(answer, http_client.Failure)
+        return answer
+
+    async def _open(self, timeout_s: float) -> FaultyClient | None:
+        if self._is_silent():
+            await trio.sleep(timeout_s)
+        self._server = None if self._is_silent() else self._accept()
+        if self._server is None:
+            return None
+        return self._connect(self._server.handler)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        self._closed = True
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -67,6 +67,29 @@
     return (zlib.crc32(step.encode()) + worker_number) % DENY_ONE_IN != 0
 
 
+def _server_of(
+    runner: platform_runner.PlatformRunner,
+) -> faulty_client.Server | None:
+    """Returns the process of a runner's incarnation; None if it has ended."""
+    if not runner.up:
+        return None
+
+    async def handle(
+        method: str, path: str, body: object, headers: dict[str, str]
+    ) -> http_client.Answer | http_client.Failure:
+        del method
+        assert isinstance(body, dict)
+        if not runner.up:
+            return http_client.Failure.NO_ANSWER
+        # A JSON round trip yields the same types as a request over HTTP.
+        decoded = json.loads(json.dumps(body))
+        expected_worker = headers.get("Expected-Instance", "")
+        answer = await runner.handle(path, decoded, expected_worker)
+        return answer if runner.up else http_client.Failure.NO_ANSWER
+
+    return faulty_client.Server(handle, lambda: runner.up)
+
+
 class EntryHost:
     """A simulated machine that runs an entry process.
 
@@ -140,12 +163,15 @@
         self._scope: trio.CancelScope | None = None
         self._removed = False
 
-    def _new_runner(self) -> platform_runner.PlatformRunner:
+    def _new_runner(
+        self, worker: str | None = None
+    ) -> platform_runner.PlatformRunner:
+        """Returns a new incarnation, under the given id or under a new one."""
         world = self._world
         world.runner_incarnations += 1
         return platform_runner.PlatformRunner(
             world.pool,
-            f"i-{self._number}-{world.runner_incarnations}",
+            worker or f"i-{self._number}-{world.runner_incarnations}",
             CAPACITY,
             started_ms=world.runner_incarnations,
             max_lease_s=MAX_LEASE_S,
@@ -182,7 +208,7 @@
             endpoint=world.network.endpoint(
                 self.address, network_lib.Place("north", self.node)
             ),
-            runner=runner_lib.Runner(world.runner_client(self)),
+            runner=runner_lib.Runner(lambda: world.runner_connection(self)),
             store=store,
             clock=trio_clock.TrioClock(world.origin),
             entries=tuple(host.address for host in world.entries),
@@ -196,12 +222,16 @@
             nursery.start_soon(agent.run)
             nursery.start_soon(self._send_heartbeats, agent)
 
+    @property
+    def _is_cut_off(self) -> bool:
+        return self.node in self._world.runner_faults.outage_by_node
+
     async def _send_heartbeats(self, agent: worker_agent.WorkerAgent) -> None:
         sequence = 0
         while True:
             sequence += 1
             runner = self.runner
-            if not runner.up:
+            if not runner.up or self._is_cut_off:
                 await trio.sleep(RESTART_DELAY_S)
                 continue
             body = json.dumps(
@@ -269,6 +299,16 @@
         self.runner.crash()
         self.runner = self._new_runner()
 
+    async def restart_runner_behind_cut(self, for_s: float) -> None:
+        """Restarts the runner under its id while its agent can't reach it."""
+        outages = self._world.runner_faults.outage_by_node
+        outages[self.node] = faulty_client.OutageMode.SILENT
+        await trio.sleep(for_s / 2)
+        self.runner.crash()
+        self.runner = self._new_runner(self.runner.worker)
+        await trio.sleep(for_s / 2)
+        outages.pop(self.node, None)
+
 
 class World:
     """All machines of a simulation, with the network and simulated services.
@@ -384,23 +424,25 @@
 
         return self._client(node, handle, self.store_faults, STORE_CALL_S)
 
-    def runner_client(self, host: WorkerHost) -> faulty_client.FaultyClient:
-        """Returns a client through which an agent calls its runner."""
-
-        async def handle(
-            method: str, path: str, body: object, headers: dict[str, str]
-        ) -> http_client.Answer | http_client.Failure:
-            del method
-            assert isinstance(body, dict)
-            # A JSON round trip yields the same types as a request over HTTP.
-            decoded = json.loads(json.dumps(body))
-            expected_worker = headers.get("Expected-Instance", "")
-            if not host.runner.up:
-                return http_client.Failure.NOT_SENT
-            return await host.runner.handle(path, decoded, expected_worker)
-
-        return self._client(
-            host.node, handle, self.runner_faults, RUNNER_CALL_S
+    def runner_connection(
+        self, host: WorkerHost
+    ) -> faulty_client.FaultyConnection:
+        """Returns a new connection from an agent to its runner."""
+        faults = self.runner_faults
+
+        def is_silent() -> bool:
+            outage = faults.outage_by_node.get(host.node, faults.outage)
+            return outage is faulty_client.OutageMode.SILENT
+
+        def connect(
+            handler: faulty_client.Handler,
+        ) -> faulty_client.FaultyClient:
+            return self._client(host.node, handler, faults, RUNNER_CALL_S)
+
+        return faulty_client.FaultyConnection(
+            accept=lambda: _server_of(host.runner),
+            connect=connect,
+            is_silent=is_silent,
         )
 
     def advice_client(self, node: str) -> faulty_client.FaultyClient:
--- a/pimentobridge/platform/http_client.py
+++ b/pimentobridge/platform/http_client.py
@@ -67,13 +67,26 @@
         """
 
 
-class HttpClient:
-    """HTTP client of one address that keeps connections open for reuse.
+class Connection(Client, Protocol):
+    """HTTP client that makes all its calls on one connection.
+
+    The first call opens the connection, which is never replaced.
+    """
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection is open and waits for another call."""
+
+    async def close(self) -> None:
+        """Closes the connection."""
+
+
+class _JsonCaller:
+    """Makes calls over connections of httpcore.
 
     Args:
         address: `IP:PORT`.
-        max_connections: limit on concurrent connections.
-        network: opens the connections; None for the operating system's.
+        sender: the pool or the connection that sends the requests.
 
     Attributes:
         sent_bytes: bytes of the bodies of all calls.
@@ -83,19 +96,12 @@
     def __init__(
         self,
         address: str,
-        *,
-        max_connections: int = MAX_CONNECTIONS,
-        network: httpcore.AsyncNetworkBackend | None = None,
+        sender: httpcore.AsyncConnectionPool | httpcore.AsyncHTTPConnection,
     ) -> None:
         self.sent_bytes = 0
         self.received_bytes = 0
         self._base = f"http://{address}"
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections,
-            keepalive_expiry=KEEP_ALIVE_S,
-            network_backend=network,
-        )
+        self._sender = sender
 
     async def call(
         self,
@@ -132,7 +138,7 @@
         }
         try:
             with trio.fail_after(timeout_s) as scope:
-                async with self._pool.stream(
+                async with self._sender.stream(
                     method,
                     self._base + path,
                     headers=list(sent_headers.items()),
@@ -143,6 +149,7 @@
         except (
             httpcore.ConnectError,
             httpcore.ConnectTimeout,
+            httpcore.ConnectionNotAvailable,
             httpcore.PoolTimeout,
         ):
             return Failure.NOT_SENT
@@ -169,6 +176,65 @@
         return b"".join(parts)
 
 
+class HttpClient(_JsonCaller):
+    """HTTP client of one address that keeps connections open for reuse.
+
+    Args:
+        address: `IP:PORT`.
+        max_connections: limit on concurrent connections.
+        network: opens the connections; None for the operating system's.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        max_connections: int = MAX_CONNECTIONS,
+        network: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
+        pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections,
+            keepalive_expiry=KEEP_ALIVE_S,
+            network_backend=network,
+        )
+        super().__init__(address, pool)
+
+
+class HttpConnection(_JsonCaller):
+    """HTTP client that makes all its calls on one connection.
+
+    Args:
+        address: `IP:PORT`.
+        network: opens the connection; None for the operating system's.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        network: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
+        self._connection = httpcore.AsyncHTTPConnection(
+            httpcore.URL(f"http://{address}").origin,
+            keepalive_expiry=KEEP_ALIVE_S,
+            network_backend=network,
+        )
+        super().__init__(address, self._connection)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection is open and waits for another call."""
+        return (
+            self._connection.is_available()
+            and not self._connection.has_expired()
+        )
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        await self._connection.aclose()
+
+
 _decoder = msgspec.json.Decoder(Any)
 
 
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -1,7 +1,8 @@
 """HTTP client of a worker's runner.
 
 The runner starts and stops runs. A poll returns its running and ended runs and
-can renew the lease without which the runner ends them.
+can renew the lease without which the runner ends them. All calls are for one
+incarnation of the runner, and no other one carries them out.
 """
 
 from __future__ import annotations
@@ -10,14 +11,14 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import msgspec
-
-from pimentobridge.core import decoding
-from pimentobridge.core.jobs import runs
 from pimentobridge.platform import http_client
+from pimentobridge.platform import runner_status
+from pimentobridge.platform import verified_connections
 
 if TYPE_CHECKING:
-    from pimentobridge.core import types
+    from collections.abc import Callable
+
+    from pimentobridge.core.jobs import runs
 
 ORDER_TIMEOUT_S = 0.35
 # Added to the wait that a poll asks of the runner to get the call's timeout.
@@ -69,36 +70,6 @@
     UNKNOWN = "unknown"
 
 
-class RunnerStatus(msgspec.Struct, frozen=True):
-    """A runner's response to a poll.
-
-    Attributes:
-        clock_s: the runner's own clock when it responded.
-        born_ms: start time of the worker incarnation that responded, in Unix
-            milliseconds; 0 if the response doesn't contain it.
-        running: runs that haven't ended.
-        ended: runs that have ended and whose end isn't acknowledged yet.
-    """
-
-    clock_s: float
-    born_ms: int
-    running: tuple[runs.RunningTask, ...]
-    ended: tuple[runs.EndedRun, ...]
-
-
-class PollFailure(enum.Enum):
-    """Why a poll returned no status.
-
-    `UNREACHABLE`: the call can't have reached the runner. `UNKNOWN`: the
-    response is missing or unexpected; the runner may have renewed the lease.
-    """
-
-    OUTDATED_TOKEN = "outdated-token"
-    WRONG_INCARNATION = "other-life"
-    UNREACHABLE = "not-there"
-    UNKNOWN = "unknown"
-
-
 # Values of `reason` in a 409 response to a start. `late` means that the lease
 # end in the order, `deadlineMs`, is too early.
 _START_RESULT_BY_REASON = {
@@ -108,21 +79,40 @@
     "room": StartResult.INSUFFICIENT_CAPACITY,
     "ticket": StartResult.TICKET_REJECTED,
 }
+# Results of orders that weren't sent for lack of a connection.
+_START_RESULT_BY_FAILURE = {
+    runner_status.PollFailure.OUTDATED_TOKEN: StartResult.OUTDATED_TOKEN,
+    runner_status.PollFailure.WRONG_INCARNATION: StartResult.WRONG_INCARNATION,
+    runner_status.PollFailure.UNREACHABLE: StartResult.UNREACHABLE,
+    runner_status.PollFailure.UNKNOWN: StartResult.UNREACHABLE,
+}
+_STOP_RESULT_BY_FAILURE = {
+    runner_status.PollFailure.OUTDATED_TOKEN: StopResult.OUTDATED_TOKEN,
+    runner_status.PollFailure.WRONG_INCARNATION: StopResult.WRONG_INCARNATION,
+    runner_status.PollFailure.UNREACHABLE: StopResult.UNKNOWN,
+    runner_status.PollFailure.UNKNOWN: StopResult.UNKNOWN,
+}
+
+_POLL_PATH = "/v1/hold"
 
 
 class Runner:
     """Client of the runner of this machine's worker.
 
     Args:
-        client: HTTP client of the runner's address.
+        open_connection: returns a new connection to the runner's address.
     """
 
-    def __init__(self, client: http_client.Client) -> None:
-        self._client = client
+    def __init__(
+        self, open_connection: Callable[[], http_client.Connection]
+    ) -> None:
+        self._connections = verified_connections.VerifiedConnections(
+            open_connection
+        )
 
     async def start(
         self,
-        worker: types.WorkerId,
+        incarnation: runs.IncarnationKey,
         order: runs.StartOrder,
         *,
         token: int,
@@ -131,7 +121,7 @@
         """Orders a run to start.
 
         Args:
-            worker: the instance that the order is for; any other refuses it.
+            incarnation: the one that the order is for.
             order: what to start.
             token: the scheduler's fencing token.
             lease_until_s: end of the worker's lease, on the runner's clock.
@@ -147,7 +137,11 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        answer = await self._call(worker, "/v1/run-start", body)
+        answer = await self._call(
+            incarnation, "/v1/run-start", body, token=token
+        )
+        if isinstance(answer, runner_status.PollFailure):
+            return _START_RESULT_BY_FAILURE[answer]
         if answer is http_client.Failure.NOT_SENT:
             return StartResult.UNREACHABLE
         if isinstance(answer, http_client.Failure):
@@ -166,14 +160,18 @@
         return StartResult.UNKNOWN
 
     async def stop(
-        self, worker: types.WorkerId, run: runs.RunKey, *, token: int
+        self, incarnation: runs.IncarnationKey, run: runs.RunKey, *, token: int
     ) -> StopResult:
         """Orders a run to stop.
 
         A run that hasn't started yet is refused if its start arrives later.
         """
         body = {"task": run.task, "run": run.run, "fencingToken": token}
-        answer = await self._call(worker, "/v1/run-stop", body)
+        answer = await self._call(
+            incarnation, "/v1/run-stop", body, token=token
+        )
+        if isinstance(answer, runner_status.PollFailure):
+            return _STOP_RESULT_BY_FAILURE[answer]
         if isinstance(answer, http_client.Failure):
             return StopResult.UNKNOWN
         if answer.status == 200:
@@ -186,17 +184,17 @@
 
     async def poll(
         self,
-        worker: types.WorkerId,
+        incarnation: runs.IncarnationKey,
         *,
         token: int,
         acknowledged_end: int,
         lease_until_s: float | None,
         wait_s: float = 0.0,
-    ) -> RunnerStatus | PollFailure:
+    ) -> runner_status.RunnerStatus | runner_status.PollFailure:
         """Returns the runner's status and renews its lease if one is given.
 
         Args:
-            worker: the instance to poll; any other refuses the call.
+            incarnation: the one to poll.
             token: the scheduler's fencing token.
             acknowledged_end: number of the last end that is recorded; the
                 runner may forget the ends up to it.
@@ -214,59 +212,77 @@
         if wait_s:
             body["waitMs"] = int(wait_s * 1000)
         answer = await self._call(
-            worker, "/v1/hold", body, timeout_s=wait_s + POLL_TIMEOUT_MARGIN_S
+            incarnation,
+            _POLL_PATH,
+            body,
+            token=token,
+            timeout_s=wait_s + POLL_TIMEOUT_MARGIN_S,
         )
-        if answer is http_client.Failure.NOT_SENT:
-            return PollFailure.UNREACHABLE
-        if isinstance(answer, http_client.Failure):
-            return PollFailure.UNKNOWN
-        if answer.status == 421:
-            return PollFailure.WRONG_INCARNATION
-        if answer.status == 409:
-            return PollFailure.OUTDATED_TOKEN
-        if answer.status != 200:
-            return PollFailure.UNKNOWN
-        return _decoded_status(answer.body)
+        if isinstance(answer, runner_status.PollFailure):
+            return answer
+        return runner_status.decode(answer, incarnation)
 
     async def _call(
         self,
-        worker: types.WorkerId,
+        incarnation: runs.IncarnationKey,
         path: str,
         body: dict[str, Any],
         *,
+        token: int,
         timeout_s: float = ORDER_TIMEOUT_S,
-    ) -> http_client.Answer | http_client.Failure:
-        return await self._client.call(
-            "POST",
-            path,
-            timeout_s=timeout_s,
-            body=body,
-            headers={"Expected-Instance": worker},
-        )
+    ) -> http_client.Answer | http_client.Failure | runner_status.PollFailure:
+        """Makes a call that no other incarnation can carry out.
 
+        Returns:
+            The response, or why there is none. A `PollFailure` means that the
+            call wasn't sent.
+        """
 
-def _decoded_status(body: dict[str, Any]) -> RunnerStatus | PollFailure:
-    try:
-        return RunnerStatus(
-            clock_s=decoding.number(body["clockMs"]) / 1000,
-            born_ms=decoding.integer(body.get("born", 0)),
-            running=tuple(
-                runs.RunningTask(
-                    runs.RunKey(str(row[0]), decoding.integer(row[1])),
-                    str(row[2]),
-                    decoding.integer(row[3]),
-                )
-                for row in body["running"]
-            ),
-            ended=tuple(
-                runs.EndedRun(
-                    decoding.integer(row[0]),
-                    runs.RunKey(str(row[1]), decoding.integer(row[2])),
-                    runs.EndCause(row[3]),
-                    str(row[4]),
-                )
-                for row in body["finished"]
-            ),
-        )
-    except (IndexError, KeyError, TypeError, ValueError):
-        return PollFailure.UNKNOWN
+        async def verify(
+            connection: http_client.Connection,
+        ) -> runner_status.PollFailure | None:
+            return await _verify(connection, incarnation, token)
+
+        async with self._connections.use(
+            incarnation, verify=verify, timeout_s=timeout_s
+        ) as connection:
+            if isinstance(connection, runner_status.PollFailure):
+                return connection
+            return await _post(
+                connection, incarnation, path, body, timeout_s=timeout_s
+            )
+
+
+async def _verify(
+    connection: http_client.Connection,
+    incarnation: runs.IncarnationKey,
+    token: int,
+) -> runner_status.PollFailure | None:
+    """Polls over a new connection; returns why it doesn't lead there, if so.
+
+    The poll renews no lease and acknowledges no end, so that it changes nothing
+    on another incarnation.
+    """
+    body = {"fencingToken": token, "lastSeen": 0}
+    answer = await _post(
+        connection, incarnation, _POLL_PATH, body, timeout_s=ORDER_TIMEOUT_S
+    )
+    status = runner_status.decode(answer, incarnation)
+    return status if isinstance(status, runner_status.PollFailure) else None
+
+
+async def _post(
+    connection: http_client.Connection,
+    incarnation: runs.IncarnationKey,
+    path: str,
+    body: dict[str, Any],
+    *,
+    timeout_s: float,
+) -> http_client.Answer | http_client.Failure:
+    return await connection.call(
+        "POST",
+        path,
+        timeout_s=timeout_s,
+        body=body,
+        headers={"Expected-Instance": incarnation.worker},
+    )
--- /dev/null
+++ b/pimentobridge/platform/runner_status.py
@@ -0,0 +1,91 @@
+"""What a poll of a worker's runner returns, and why it may return nothing."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import msgspec
+
+from pimentobridge.core import decoding
+from pimentobridge.core.jobs import runs
+from pimentobridge.platform import http_client
+
+
+class RunnerStatus(msgspec.Struct, frozen=True):
+    """A runner's response to a poll.
+
+    Attributes:
+        clock_s: the runner's own clock when it responded.
+        running: runs that haven't ended.
+        ended: runs that have ended and whose end isn't acknowledged yet.
+    """
+
+    clock_s: float
+    running: tuple[runs.RunningTask, ...]
+    ended: tuple[runs.EndedRun, ...]
+
+
+class PollFailure(enum.Enum):
+    """Why a poll returned no status.
+
+    `UNREACHABLE`: the call can't have reached the runner. `UNKNOWN`: the
+    response is missing or unexpected; the runner may have renewed the lease.
+    `WRONG_INCARNATION`: another incarnation of the worker responded.
+    """
+
+    OUTDATED_TOKEN = "outdated-token"
+    WRONG_INCARNATION = "other-life"
+    UNREACHABLE = "not-there"
+    UNKNOWN = "unknown"
+
+
+def decode(
+    answer: http_client.Answer | http_client.Failure,
+    incarnation: runs.IncarnationKey,
+) -> RunnerStatus | PollFailure:
+    """Returns the status in a response, or why there is none.
+
+    Args:
+        answer: the response to a poll.
+        incarnation: the one that was polled.
+    """
+    if answer is http_client.Failure.NOT_SENT:
+        return PollFailure.UNREACHABLE
+    if isinstance(answer, http_client.Failure):
+        return PollFailure.UNKNOWN
+    if answer.status == 421:
+        return PollFailure.WRONG_INCARNATION
+    if answer.status == 409:
+        return PollFailure.OUTDATED_TOKEN
+    if answer.status != 200:
+        return PollFailure.UNKNOWN
+    try:
+        if decoding.integer(answer.body["born"]) != incarnation.started_ms:
+            return PollFailure.WRONG_INCARNATION
+        return _status_of(answer.body)
+    except (IndexError, KeyError, TypeError, ValueError):
+        return PollFailure.UNKNOWN
+
+
+def _status_of(body: dict[str, Any]) -> RunnerStatus:
+    return RunnerStatus(
+        clock_s=decoding.number(body["clockMs"]) / 1000,
+        running=tuple(
+            runs.RunningTask(
+                runs.RunKey(str(row[0]), decoding.integer(row[1])),
+                str(row[2]),
+                decoding.integer(row[3]),
+            )
+            for row in body["running"]
+        ),
+        ended=tuple(
+            runs.EndedRun(
+                decoding.integer(row[0]),
+                runs.RunKey(str(row[1]), decoding.integer(row[2])),
+                runs.EndCause(row[3]),
+                str(row[4]),
+            )
+            for row in body["finished"]
+        ),
+    )
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -20,6 +20,7 @@
 from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.platform import advice
 from pimentobridge.platform import boot_settings
@@ -28,6 +29,7 @@
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner
+from pimentobridge.platform import runner_status
 from pimentobridge.platform import submissions
 
 JSON = strategies.recursive(
@@ -144,20 +146,32 @@
     ) -> http_client.Answer | http_client.Failure:
         return self._answer
 
+    @property
+    def reusable(self) -> bool:
+        return True
+
+    async def close(self) -> None:
+        pass
+
 
 @fuzz
 @given(field=strategies.sampled_from(sorted(RUNNER_STATUS)), value=JSON)
 def test_runner_poll_never_raises(field: str, value: Any) -> None:
     client = _FixedClient(200, {**RUNNER_STATUS, field: value})
-    polled = trio.run(_poll, runner.Runner(client))
-    assert isinstance(polled, (runner.RunnerStatus, runner.PollFailure))
+    polled = trio.run(_poll, client)
+    assert isinstance(
+        polled, (runner_status.RunnerStatus, runner_status.PollFailure)
+    )
 
 
 async def _poll(
-    client: runner.Runner,
-) -> runner.RunnerStatus | runner.PollFailure:
-    return await client.poll(
-        types.WorkerId("w"), token=1, acknowledged_end=0, lease_until_s=None
+    client: _FixedClient,
+) -> runner_status.RunnerStatus | runner_status.PollFailure:
+    return await runner.Runner(lambda: client).poll(
+        runs.IncarnationKey(types.WorkerId("w"), RUNNER_STATUS["born"]),
+        token=1,
+        acknowledged_end=0,
+        lease_until_s=None,
     )
 
 
