Take an announced incarnation only once the runner has confirmed it

Cause: an agent took whatever heartbeat named the latest start for its worker's, and ignored its own runner's heartbeats from then on. The service isn't the cause: one with the runner's id and a later start did the same.

Change: a heartbeat that names another incarnation makes the agent ask the runner, and counts only if that answers for the id and the start. One of the present incarnation with another service is skipped.

--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -13,6 +13,7 @@
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import report_route
 from pimentobridge.daemons import started_runs
+from pimentobridge.daemons import worker_announcements
 from pimentobridge.daemons import worker_contact
 from pimentobridge.daemons import worker_view
 from pimentobridge.platform import operator_configuration
@@ -85,6 +86,11 @@
         self._answered_s = 0.0
         self._instructions: runs.Instructions | None = None
         self._worker: runs.WorkerIncarnation | None = None
+        self._announcements = worker_announcements.WorkerAnnouncements(
+            runner=runner,
+            token=lambda: self._token,
+            on_confirmed=self._on_confirmed,
+        )
         self._started_runs = started_runs.StartedRuns()
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
@@ -103,6 +109,7 @@
             nursery.start_soon(self._configuration_source.run)
             nursery.start_soon(self._report_forever)
             nursery.start_soon(self._poll_forever)
+            nursery.start_soon(self._announcements.run)
 
     def gauges(self) -> dict[str, float]:
         """Returns this agent's gauges by metric name."""
@@ -155,33 +162,57 @@
     # Heartbeats of the worker, and its deregistration.
 
     def on_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
-        """Processes a heartbeat, unless it is of an earlier incarnation."""
+        """Processes a heartbeat, which may be late or another writer's.
+
+        One that names another incarnation than the present one changes nothing
+        until the runner has confirmed that it is that incarnation.
+        """
         current = self._worker
-        if (
-            current is not None
-            and heartbeat.incarnation.key.started_ms < current.key.started_ms
-        ):
+        key = heartbeat.incarnation.key
+        if current is not None and key == current.key:
+            self._update_worker(current, heartbeat)
+        elif current is None or key.started_ms >= current.key.started_ms:
+            self._announcements.add(heartbeat)
+
+    def _update_worker(
+        self, current: runs.WorkerIncarnation, heartbeat: heartbeats.Heartbeat
+    ) -> None:
+        if heartbeat.sequence <= self._sequence:
             return
-        if current is None or current.key != heartbeat.incarnation.key:
+        if heartbeat.incarnation.service != current.service:
             logs.event(
-                "worker announced",
-                worker=heartbeat.incarnation.key.worker,
-                born_ms=heartbeat.incarnation.key.started_ms,
-                earlier=current.key.worker if current else None,
+                "heartbeat of another writer",
+                worker=current.key.worker,
+                service=heartbeat.incarnation.service,
+                expected=current.service,
             )
-            self._note_end_of_incarnation()
-            self._view = self._new_view()
-            self._instructions = None
-            self._sequence = 0
-        elif heartbeat.sequence <= self._sequence:
             return
         self._sequence = heartbeat.sequence
-        changed = current != heartbeat.incarnation
-        self._worker = heartbeat.incarnation
-        if changed:
+        if heartbeat.incarnation != current:
+            self._worker = heartbeat.incarnation
             self._wake_poll.set()
             self._wake_report.set()
 
+    def _on_confirmed(self, heartbeat: heartbeats.Heartbeat) -> None:
+        """Takes an incarnation that the runner has confirmed for its own."""
+        current = self._worker
+        key = heartbeat.incarnation.key
+        if current is not None and key.started_ms < current.key.started_ms:
+            return
+        logs.event(
+            "worker announced",
+            worker=key.worker,
+            born_ms=key.started_ms,
+            earlier=current.key.worker if current else None,
+        )
+        self._note_end_of_incarnation()
+        self._view = self._new_view()
+        self._instructions = None
+        self._sequence = heartbeat.sequence
+        self._worker = heartbeat.incarnation
+        self._wake_poll.set()
+        self._wake_report.set()
+
     def _note_end_of_incarnation(self) -> None:
         if self._worker is not None:
             self._started_runs.on_ended(
--- a/pimentobridge/lab/callers.py
+++ b/pimentobridge/lab/callers.py
@@ -4,13 +4,13 @@
 
 import json
 from typing import TYPE_CHECKING
-from typing import Any
 
 import trio
 
 from pimentobridge.lab import checkers
 from pimentobridge.lab import operator_documents
 from pimentobridge.lab import world as world_lib
+from pimentobridge.testing import asgi
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -165,28 +165,16 @@
         if api is None:
             await trio.sleep(0.01)
             return 0, b""
-        scope = {
-            "type": "http",
-            "method": method,
-            "path": path,
-            "headers": [
-                (b"host", b"host.example"),
-                (b"authorization", f"Bearer key-of-{account}".encode()),
-                (b"timeout-ms", str(int(CALL_TIMEOUT_S * 1000)).encode()),
-            ],
+        headers = {
+            "Host": "host.example",
+            "Authorization": f"Bearer key-of-{account}",
+            "Timeout-Ms": str(int(CALL_TIMEOUT_S * 1000)),
         }
-        events: list[dict[str, Any]] = []
-
-        async def receive() -> dict[str, Any]:
-            return {"type": "http.request", "body": body, "more_body": False}
-
-        async def send(event: dict[str, Any]) -> None:
-            events.append(event)
-
+        answer = None
         with trio.move_on_after(CALL_TIMEOUT_S):
-            await api(scope, receive, send)
-        if len(events) < 2 or host.api is not api:
+            answer = await asgi.call(api, method, path, body, headers=headers)
+        if answer is None or host.api is not api:
             return 0, b""
-        return int(events[0]["status"]), bytes(events[1]["body"])
+        return answer
 
     return call
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -24,6 +24,7 @@
 TARGET_SHARE = 0.35
 # Share of the tasks first started during the fault that crash their runners.
 DEADLY_SHARE = 0.2
+ODD_HEARTBEAT_INTERVAL_S = 0.7
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -295,6 +296,15 @@
     world.put_configuration()
 
 
+async def _send_odd_heartbeats(world: world_lib.World, fault: Fault) -> None:
+    """Another writer sends heartbeats to agents, again and again."""
+    until_s = trio.current_time() + fault.for_s
+    while trio.current_time() < until_s:
+        for number in fault.targets:
+            await world.workers[number].deliver_odd_heartbeats()
+        await trio.sleep(ODD_HEARTBEAT_INTERVAL_S)
+
+
 _INJECTORS: dict[str, Callable[[world_lib.World, Fault], Awaitable[None]]] = {
     "store silent": _outage_injector(
         faulty_client.OutageMode.SILENT, pauses_lease_expiry=False
@@ -336,5 +346,6 @@
     "tasks crash their runners": _make_tasks_deadly,
     "capacity shrinks": _shrink_capacity,
     "odd entries": _leave_odd_entries,
+    "odd heartbeats": _send_odd_heartbeats,
 }
 KINDS = tuple(sorted(_INJECTORS))
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -14,25 +14,28 @@
 
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import runs
 from pimentobridge.daemons import job_api
 from pimentobridge.daemons import job_entry
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import platform_process
 from pimentobridge.daemons import trio_clock
 from pimentobridge.daemons import worker_agent
+from pimentobridge.daemons import worker_api
 from pimentobridge.lab import checkers
 from pimentobridge.lab import faulty_client
 from pimentobridge.lab import operator_documents
 from pimentobridge.platform import advice
 from pimentobridge.platform import boot_settings
-from pimentobridge.platform import heartbeats
 from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import operator_configuration
 from pimentobridge.platform import runner as runner_lib
+from pimentobridge.testing import asgi
 from pimentobridge.testing import http_network
 from pimentobridge.testing import links
 from pimentobridge.testing import network as network_lib
+from pimentobridge.testing import odd_heartbeats
 from pimentobridge.testing import platform_advice
 from pimentobridge.testing import platform_runner
 from pimentobridge.testing import platform_store
@@ -220,13 +223,13 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(agent.run)
-            nursery.start_soon(self._send_heartbeats, agent)
+            nursery.start_soon(self._send_heartbeats)
 
     @property
     def _is_cut_off(self) -> bool:
         return self.node in self._world.runner_faults.outage_by_node
 
-    async def _send_heartbeats(self, agent: worker_agent.WorkerAgent) -> None:
+    async def _send_heartbeats(self) -> None:
         sequence = 0
         while True:
             sequence += 1
@@ -251,9 +254,27 @@
                     "clockMs": runner.clock_s * 1000,
                 }
             )
-            agent.on_heartbeat(heartbeats.decode(runner.worker, body.encode()))
+            await self.deliver_heartbeat(
+                f"{odd_heartbeats.INSTANCES_PATH}{runner.worker}/heartbeat",
+                body.encode(),
+            )
             await trio.sleep(HEARTBEAT_INTERVAL_S)
 
+    async def deliver_heartbeat(self, path: str, body: bytes) -> None:
+        """Sends a heartbeat of any writer to the agent, if one runs."""
+        if self.agent is not None:
+            api = worker_api.WorkerApi(self.agent)
+            await asgi.call(api, "POST", path, body)
+
+    async def deliver_odd_heartbeats(self, kind: str | None = None) -> None:
+        """Another writer sends odd heartbeats, of one kind or all of them."""
+        key = runs.IncarnationKey(
+            types.WorkerId(self.runner.worker), self.runner.started_ms
+        )
+        for odd in odd_heartbeats.for_worker(key):
+            if kind in (None, odd.kind):
+                await self.deliver_heartbeat(odd.path, odd.body)
+
     def kill(self) -> None:
         """Kills the agent; it is restarted after `RESTART_DELAY_S`."""
         if self._scope is not None:
--- /dev/null
+++ b/tests/test_worker_announcements.py
@@ -0,0 +1,74 @@
+"""Heartbeats that reach an agent from another writer than its worker."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+import trio
+
+from pimentobridge.bench import harness
+from pimentobridge.core import types
+from pimentobridge.core.jobs import runs
+from pimentobridge.lab import callers
+from pimentobridge.lab import checkers
+from pimentobridge.lab import operator_documents
+from pimentobridge.lab import world as world_lib
+from pimentobridge.testing import odd_heartbeats
+
+TASK_S = 1.0
+# The users' bound for a job that has begun no run while workers are idle, with
+# the time of its work.
+FINISH_S = 14.0 + TASK_S
+KINDS = [
+    odd.kind
+    for odd in odd_heartbeats.for_worker(
+        runs.IncarnationKey(types.WorkerId("w"), 1)
+    )
+]
+
+
+def _job() -> checkers.SubmittedJob:
+    spec = {"seconds": TASK_S, "request": [1000, 1000, 1]}
+    step = {"count": 1, "cpu": 1000, "memMb": 1000, "gpu": 1}
+    return checkers.SubmittedJob(
+        id="a" * 16,
+        spec=json.dumps(spec),
+        steps=[dict(step)],
+        max_attempts=operator_documents.MAX_ATTEMPTS,
+    )
+
+
+async def _run_job_after(kind: str) -> str:
+    """Returns a job's state some time after an odd heartbeat of a kind."""
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(
+            rng=random.Random(1), nursery=nursery, entries=1, workers=2
+        )
+        world.put_configuration()
+        world.start()
+        await trio.sleep(4.0)
+        for host in world.workers:
+            await host.deliver_odd_heartbeats(kind)
+        await trio.sleep(2.0)
+        job = _job()
+        caller = callers.Caller(
+            callers.make_call(world, operator_documents.ACCOUNTS[0]),
+            world.checker,
+            job,
+            path=f"/queue-0/{job.id}",
+            cancels_after_s=None,
+            until_s=trio.current_time() + FINISH_S,
+        )
+        await caller.run()
+        nursery.cancel_scope.cancel()
+    assert world.checker.findings == []
+    return job.observed_states[-1][1]
+
+
+# Guards against LOST (issue 35, review/5): an agent took whatever heartbeat
+# named a later start for its worker's, and never used its worker again.
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_heartbeat_of_another_writer_changes_nothing(kind: str) -> None:
+    assert harness.run_virtual(_run_job_after, kind, seed=1) == "completed"
