Refuse heartbeats under ids that no header can hold

Cause: calls to the runner carry the id in a header, and httpcore refuses such a value with a TypeError that nothing expects.

Change: the decoder of heartbeats accepts ids of 1 to 200 visible ASCII characters. The simulation's connections refuse such headers as httpcore does, and it reports processes that end by themselves (FAULT).

The tests with the check taken out: 3 of 32 failed, among them FAULT at 4.00 s: worker-0 ended by itself: TypeError('header values must be ASCII') After: 32 passed.

--- a/pimentobridge/lab/checkers.py
+++ b/pimentobridge/lab/checkers.py
@@ -4,6 +4,7 @@
 
 - `BUDGET`: a task was started after it had used up its attempts, or three times
   after three runners had crashed under it.
+- `FAULT`: a process of the system ended by itself.
 - `GANG`: a gang member stopped waiting because the others did not all start.
 - `LIMIT`: a start brought a runner over its capacity.
 - `LOST`: an accepted job is unknown or did not end, or a job was reported as
@@ -18,6 +19,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -26,6 +28,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
 # A task may still start this long after the cancellation was acknowledged.
 CANCEL_GRACE_S = 3.0
@@ -118,6 +121,14 @@
     def _report(self, rule: str, detail: str) -> None:
         self.findings.append(f"{rule} at {self._clock():.2f} s: {detail}")
 
+    @contextlib.contextmanager
+    def detect_crash(self, node: str) -> Iterator[None]:
+        """Reports an error that ends the process of a machine."""
+        try:
+            yield
+        except Exception as error:  # noqa: BLE001  whatever ended it
+            self._report("FAULT", f"{node} ended by itself: {error!r:.300}")
+
     # Events reported by runners.
 
     def on_start(
--- a/pimentobridge/lab/faulty_client.py
+++ b/pimentobridge/lab/faulty_client.py
@@ -100,7 +100,13 @@
         body: object | None = None,
         headers: dict[str, str] | None = None,
     ) -> http_client.Answer | http_client.Failure:
-        """Returns the response to a call, or why there is none."""
+        """Returns the response to a call, or why there is none.
+
+        Raises:
+            TypeError: a header isn't ASCII, as in httpcore.
+        """
+        if not all(value.isascii() for value in (headers or {}).values()):
+            raise TypeError("header values must be ASCII")
         faults = self._faults
         outage = faults.outage_by_node.get(self._node, faults.outage)
         if outage is OutageMode.BUSY:
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -113,7 +113,10 @@
     async def run(self) -> None:
         """Runs the process, and restarts it whenever it ends."""
         while True:
-            with trio.CancelScope() as self._scope:
+            with (
+                self._world.checker.detect_crash(self.node),
+                trio.CancelScope() as self._scope,
+            ):
                 await self._run_process()
             self.entry = self.api = None
             self._world.network.remove(self.address)
@@ -196,7 +199,10 @@
     async def run(self) -> None:
         """Runs the agent, and restarts it until the machine is removed."""
         while not self._removed:
-            with trio.CancelScope() as self._scope:
+            with (
+                self._world.checker.detect_crash(self.node),
+                trio.CancelScope() as self._scope,
+            ):
                 await self._run_agent()
             self.agent = None
             self._world.network.remove(self.address)
@@ -260,11 +266,17 @@
             )
             await trio.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def deliver_heartbeat(self, path: str, body: bytes) -> None:
-        """Sends a heartbeat of any writer to the agent, if one runs."""
-        if self.agent is not None:
-            api = worker_api.WorkerApi(self.agent)
-            await asgi.call(api, "POST", path, body)
+    async def deliver_heartbeat(self, path: str, body: bytes) -> int:
+        """Sends a heartbeat of any writer to the agent.
+
+        Returns:
+            The status of the answer; 0 if there is none.
+        """
+        if self.agent is None:
+            return 0
+        api = worker_api.WorkerApi(self.agent)
+        answer = await asgi.call(api, "POST", path, body)
+        return 0 if answer is None else answer[0]
 
     async def deliver_odd_heartbeats(self, kind: str | None = None) -> None:
         """Another writer sends odd heartbeats, of one kind or all of them."""
--- a/pimentobridge/platform/heartbeats.py
+++ b/pimentobridge/platform/heartbeats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from pimentobridge.core import decoding
@@ -10,6 +12,8 @@
 from pimentobridge.core.jobs import runs
 
 ACCEPTED_STATES = ("ready", "draining")
+# Visible ASCII characters, as calls to the worker carry its id in a header.
+_WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
 class _Capacity(msgspec.Struct):
@@ -60,8 +64,15 @@
         body: body of the request.
 
     Raises:
-        decoding.MalformedError: it is malformed, or its state is unknown.
+        decoding.MalformedError: it is malformed, its state is unknown, or the
+            id can't be one of a worker.
     """
+    if not _WORKER_ID.fullmatch(worker):
+        raise decoding.MalformedError(
+            f"received id {worker!r:.40}; expected up to 200 visible ASCII"
+            " characters",
+            body,
+        )
     wire = decoding.decode(_decoder, body)
     if wire.state not in ACCEPTED_STATES:
         raise decoding.MalformedError(
--- a/pimentobridge/testing/odd_heartbeats.py
+++ b/pimentobridge/testing/odd_heartbeats.py
@@ -19,6 +19,17 @@
 # Far beyond the start of any runner.
 LATER_MS = 10**13
 OTHER_ID = "i-other"
+# Percent-encoded ids that no header can hold, or that are no ids.
+ODD_IDS = (
+    "i-%FF%FE%E9",
+    "i-%E2%82%AC",
+    "i-%00",
+    "i-1%0D%0AFencing-Token:%209",
+    "i-%7F",
+    "%20",
+    "",
+    "i-" + "1" * 5000,
+)
 
 
 class OddHeartbeat(msgspec.Struct, frozen=True):
@@ -57,6 +68,10 @@
             {**whole, "state": "draining", "remainingMs": 0},
         ),
         _of("unknown state", own.worker, {**whole, "state": "hibernating"}),
+        *(
+            _of(f"id {number}", worker, {**whole, "service": "plans"})
+            for number, worker in enumerate(ODD_IDS)
+        ),
         OddHeartbeat("unreadable", _path(own.worker), b"\xff\xfe{"),
         OddHeartbeat("nested", _path(own.worker), odd_entries.NESTED_JSON),
         OddHeartbeat("empty", _path(own.worker), b""),
--- a/tests/test_worker_announcements.py
+++ b/tests/test_worker_announcements.py
@@ -40,6 +40,39 @@
     )
 
 
+def _statuses_by_id() -> dict[str, int]:
+    """Returns the status of a heartbeat under each odd id."""
+
+    async def main() -> dict[str, int]:
+        statuses_by_id = {}
+        async with trio.open_nursery() as nursery:
+            world = world_lib.World(
+                rng=random.Random(1), nursery=nursery, entries=1, workers=1
+            )
+            world.start()
+            await trio.sleep(1.0)
+            own = runs.IncarnationKey(types.WorkerId("w"), 1)
+            for odd in odd_heartbeats.for_worker(own):
+                if odd.kind.startswith("id "):
+                    status = await world.workers[0].deliver_heartbeat(
+                        odd.path, odd.body
+                    )
+                    statuses_by_id[odd.path] = status
+            nursery.cancel_scope.cancel()
+        return statuses_by_id
+
+    statuses: dict[str, int] = harness.run_virtual(main)
+    return statuses
+
+
+# Guards against processes that end by themselves (issue 35, REPORT.md): a
+# header can't hold every id that a path can, and the error ended the agent.
+def test_an_id_that_is_no_header_value_is_refused() -> None:
+    statuses_by_id = _statuses_by_id()
+    assert len(statuses_by_id) == len(odd_heartbeats.ODD_IDS)
+    assert set(statuses_by_id.values()) <= {400, 404}
+
+
 async def _run_job_after(kind: str) -> str:
     """Returns a job's state some time after an odd heartbeat of a kind."""
     async with trio.open_nursery() as nursery:
