Believe a deregistration only of a worker that drains

Seen: a task ran twice (TWICE) in the simulation, after a deregistration under the id of a worker that went on, and a cut of 2 s between it and its agent.

Cause: the call names only an id, which the next incarnation keeps, and its sender isn't checked. The worker counted as ended once a call couldn't reach it.

Change: the agent notes it only for an incarnation that has said that it drains, as every worker does before a planned end.

--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -223,9 +223,21 @@
             )
 
     def on_deregistered(self, worker: str) -> None:
-        """Notes that the worker has announced that it is shutting down."""
-        if self._worker is not None and self._worker.key.worker == worker:
-            self._view.contact.deregistered = True
+        """Notes that the worker has announced that it is shutting down.
+
+        A deregistration names no incarnation and may be late or another
+        writer's. It counts only if the worker has said before that it drains.
+        """
+        current = self._worker
+        if current is None or current.key.worker != worker:
+            return
+        self._view.contact.deregistered = current.draining
+        logs.event(
+            "worker deregistered",
+            worker=worker,
+            born_ms=current.key.started_ms,
+            outcome="noted" if current.draining else "not draining",
+        )
 
     # Orders of the scheduler.
 
--- a/pimentobridge/daemons/worker_api.py
+++ b/pimentobridge/daemons/worker_api.py
@@ -7,7 +7,6 @@
 
 from pimentobridge.core import decoding
 from pimentobridge.daemons import http
-from pimentobridge.daemons import logs
 from pimentobridge.daemons import unreadable
 from pimentobridge.platform import heartbeats
 
@@ -50,7 +49,6 @@
             self._agent.on_heartbeat(heartbeat)
             return 200
         if call == DEREGISTER:
-            logs.event("worker deregistered", worker=worker)
             self._agent.on_deregistered(worker)
             return 200
         return 404
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -332,16 +332,21 @@
         self.runner.crash()
         self.runner = self._new_runner()
 
-    async def restart_runner_behind_cut(self, for_s: float) -> None:
-        """Restarts the runner under its id while its agent can't reach it."""
+    async def cut_off_runner(self, for_s: float) -> None:
+        """Cuts the runner off from its agent, silently and both ways."""
         outages = self._world.runner_faults.outage_by_node
         outages[self.node] = faulty_client.OutageMode.SILENT
-        await trio.sleep(for_s / 2)
-        self.runner.crash()
-        self.runner = self._new_runner(self.runner.worker)
-        await trio.sleep(for_s / 2)
+        await trio.sleep(for_s)
         outages.pop(self.node, None)
 
+    async def restart_runner_behind_cut(self, for_s: float) -> None:
+        """Restarts the runner under its id while it is cut off."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.cut_off_runner, for_s)
+            await trio.sleep(for_s / 2)
+            self.runner.crash()
+            self.runner = self._new_runner(self.runner.worker)
+
 
 class World:
     """All machines of a simulation, with the network and simulated services.
--- a/tests/test_worker_announcements.py
+++ b/tests/test_worker_announcements.py
@@ -29,8 +29,8 @@
 ]
 
 
-def _job() -> checkers.SubmittedJob:
-    spec = {"seconds": TASK_S, "request": [1000, 1000, 1]}
+def _job(task_s: float = TASK_S) -> checkers.SubmittedJob:
+    spec = {"seconds": task_s, "request": [1000, 1000, 1]}
     step = {"count": 1, "cpu": 1000, "memMb": 1000, "gpu": 1}
     return checkers.SubmittedJob(
         id="a" * 16,
@@ -73,6 +73,19 @@
     assert set(statuses_by_id.values()) <= {400, 404}
 
 
+def _caller(
+    world: world_lib.World, job: checkers.SubmittedJob
+) -> callers.Caller:
+    return callers.Caller(
+        callers.make_call(world, operator_documents.ACCOUNTS[0]),
+        world.checker,
+        job,
+        path=f"/queue-0/{job.id}",
+        cancels_after_s=None,
+        until_s=trio.current_time() + FINISH_S,
+    )
+
+
 async def _run_job_after(kind: str) -> str:
     """Returns a job's state some time after an odd heartbeat of a kind."""
     async with trio.open_nursery() as nursery:
@@ -86,15 +99,7 @@
             await host.deliver_odd_heartbeats(kind)
         await trio.sleep(2.0)
         job = _job()
-        caller = callers.Caller(
-            callers.make_call(world, operator_documents.ACCOUNTS[0]),
-            world.checker,
-            job,
-            path=f"/queue-0/{job.id}",
-            cancels_after_s=None,
-            until_s=trio.current_time() + FINISH_S,
-        )
-        await caller.run()
+        await _caller(world, job).run()
         nursery.cancel_scope.cancel()
     assert world.checker.findings == []
     return job.observed_states[-1][1]
@@ -105,3 +110,33 @@
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_heartbeat_of_another_writer_changes_nothing(kind: str) -> None:
     assert harness.run_virtual(_run_job_after, kind, seed=1) == "completed"
+
+
+async def _deregister_under_a_run() -> list[str]:
+    """Returns what is violated when the worker of a run didn't deregister."""
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(
+            rng=random.Random(1), nursery=nursery, entries=1, workers=2
+        )
+        world.put_configuration()
+        world.start()
+        await trio.sleep(4.0)
+        async with trio.open_nursery() as traffic:
+            traffic.start_soon(_caller(world, _job(task_s=6.0)).run)
+            await trio.sleep(2.0)
+            host = next(
+                host for host in world.workers if host.runner.runs_by_task
+            )
+            await host.deliver_heartbeat(
+                f"/v1/instances/{host.runner.worker}/deregister", b""
+            )
+            await host.cut_off_runner(2.0)
+        nursery.cancel_scope.cancel()
+    return world.checker.finish()
+
+
+# Guards against TWICE (issue 35, related to review/5 and 3): a deregistration
+# names only an id, so that it may be late, of an earlier incarnation, or another
+# writer's. The worker counted as ended once a call couldn't reach it.
+def test_a_worker_that_is_not_draining_has_not_deregistered() -> None:
+    assert harness.run_virtual(_deregister_under_a_run, seed=1) == []
