--- a/tests/test_worker_announcements.py
+++ b/tests/test_worker_announcements.py
@@ -136,7 +136,7 @@
 
 
 # Guards against TWICE (issue 35, related to review/5 and 3): a deregistration
-# names only an id, so that it may be late, of an earlier incarnation, or another
+# names only an id, so that it may be late, of an earlier incarnation or another
 # writer's. The worker counted as ended once a call couldn't reach it.
 def test_a_worker_that_is_not_draining_has_not_deregistered() -> None:
     assert harness.run_virtual(_deregister_under_a_run, seed=1) == []
