Sort the shapes of a fleet by plain values

Cause: FleetShape.including sorted by a tuple that holds Resources, which have no order. The TypeError ended each term of the scheduler after a second, and no term lived long enough to see a lost worker's lease expire.

Change: the sort key holds plain values, also in victim_choice, which could have compared incarnations. The simulation has workers of two sizes, and counts each unexpected error that a process logs as a finding.

The test before: TypeError: '<' not supported between instances of 'Resources' and 'Resources'.

--- a/pimentobridge/core/scheduling/fleet_shape.py
+++ b/pimentobridge/core/scheduling/fleet_shape.py
@@ -58,7 +58,7 @@
         return FleetShape(
             tuple(
                 ShapeCount(shape, largest[shape])
-                for shape in sorted(largest, key=msgspec.structs.astuple)
+                for shape in sorted(largest, key=_sort_key)
             )
         )
 
@@ -88,6 +88,12 @@
         return ""
 
 
+def _sort_key(shape: WorkerShape) -> tuple[object, ...]:
+    """Returns a key that orders shapes, whose capacities have no order."""
+    capacity = msgspec.structs.astuple(shape.capacity)
+    return shape.service, capacity, shape.labels
+
+
 def _slots(step: model.Step, count: ShapeCount) -> int:
     """Returns how many tasks of a step the workers of a shape can hold."""
     shape = count.shape
--- a/pimentobridge/core/scheduling/victim_choice.py
+++ b/pimentobridge/core/scheduling/victim_choice.py
@@ -145,7 +145,7 @@
             urgent = any(victim.is_urgent for victim in found)
             cost = sum(victim.lost_work(now_s) for victim in found)
             costs.append((urgent, cost, worker.key.worker, worker.key))
-    costs.sort()
+    costs.sort(key=lambda row: row[:-1])
     for *_, key in costs:
         # A gang that was picked for another worker frees this one as well.
         left = [one for one in victims_by_key[key] if one not in picked]
--- a/pimentobridge/lab/checkers.py
+++ b/pimentobridge/lab/checkers.py
@@ -4,7 +4,8 @@
 
 - `BUDGET`: a task was started after it had used up its attempts, or three times
   after three runners had crashed under it.
-- `FAULT`: a process of the system ended by itself.
+- `FAULT`: a process of the system ended by itself, or logged an unexpected
+  error.
 - `GANG`: a gang member stopped waiting because the others did not all start.
 - `LIMIT`: a start brought a runner over its capacity.
 - `LOST`: an accepted job is unknown or did not end, or a job was reported as
@@ -129,6 +130,10 @@
         except Exception as error:  # noqa: BLE001  whatever ended it
             self._report("FAULT", f"{node} ended by itself: {error!r:.300}")
 
+    def on_unexpected_error(self, description: str) -> None:
+        """Reports an error that a process has contained and logged."""
+        self._report("FAULT", description)
+
     # Events reported by runners.
 
     def on_start(
--- a/pimentobridge/lab/simulation.py
+++ b/pimentobridge/lab/simulation.py
@@ -12,6 +12,7 @@
 from pimentobridge.lab import callers
 from pimentobridge.lab import faults as faults_lib
 from pimentobridge.lab import operator_documents
+from pimentobridge.lab import unexpected_errors
 from pimentobridge.lab import world as world_lib
 
 if TYPE_CHECKING:
@@ -94,30 +95,15 @@
             workers=WORKERS,
             advised=ADVISED_PRIORITIES,
             runners_guard_capacity=guards_capacity,
+            small_workers=seed % (WORKERS // 2),
         )
-        world.put_configuration()
-        world.start()
-        await trio.sleep(WARM_UP_S)
-        until_s = trio.current_time() + TRAFFIC_S + COMPLETION_TIMEOUT_S
-        for fault in faults:
-            nursery.start_soon(faults_lib.inject, world, fault)
-        async with trio.open_nursery() as traffic:
-            for number in range(JOBS):
-                await trio.sleep(rng.expovariate(JOBS / TRAFFIC_S))
-                job, priority = callers.random_job(
-                    rng, number, advised=ADVISED_PRIORITIES
-                )
-                cancels = rng.random() < CANCEL_SHARE
-                account = rng.choice(operator_documents.ACCOUNTS)
-                caller = callers.Caller(
-                    callers.make_call(world, account),
-                    world.checker,
-                    job,
-                    path=f"/queue-{priority}/{job.id}",
-                    cancels_after_s=rng.uniform(0, 3) if cancels else None,
-                    until_s=until_s,
-                )
-                traffic.start_soon(caller.run)
+        with unexpected_errors.reported(world.checker.on_unexpected_error):
+            world.put_configuration()
+            world.start()
+            await trio.sleep(WARM_UP_S)
+            for fault in faults:
+                nursery.start_soon(faults_lib.inject, world, fault)
+            await _run_traffic(world)
         nursery.cancel_scope.cancel()
     jobs = list(world.checker.jobs_by_id.values())
     return SimulationResult(
@@ -132,3 +118,26 @@
         ),
         started=world.checker.started,
     )
+
+
+async def _run_traffic(world: world_lib.World) -> None:
+    """Submits jobs at random times and follows them to their ends."""
+    rng = world.rng
+    until_s = trio.current_time() + TRAFFIC_S + COMPLETION_TIMEOUT_S
+    async with trio.open_nursery() as traffic:
+        for number in range(JOBS):
+            await trio.sleep(rng.expovariate(JOBS / TRAFFIC_S))
+            job, priority = callers.random_job(
+                rng, number, advised=ADVISED_PRIORITIES
+            )
+            cancels = rng.random() < CANCEL_SHARE
+            account = rng.choice(operator_documents.ACCOUNTS)
+            caller = callers.Caller(
+                callers.make_call(world, account),
+                world.checker,
+                job,
+                path=f"/queue-{priority}/{job.id}",
+                cancels_after_s=rng.uniform(0, 3) if cancels else None,
+                until_s=until_s,
+            )
+            traffic.start_soon(caller.run)
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -45,6 +45,7 @@
 
 SERVICE = "plans"
 CAPACITY = model.Resources(32_000, 128_000, 8)
+SMALL_CAPACITY = model.Resources(16_000, 64_000, 8)
 MAX_LEASE_S = 6.0
 HEARTBEAT_INTERVAL_S = 1.5
 STORE_CALL_S = 0.007
@@ -178,7 +179,7 @@
         return platform_runner.PlatformRunner(
             world.pool,
             worker or f"i-{self._number}-{world.runner_incarnations}",
-            CAPACITY,
+            world.capacity_of(self._number),
             started_ms=world.runner_incarnations,
             max_lease_s=MAX_LEASE_S,
             guards_capacity=world.runners_guard_capacity,
@@ -361,6 +362,8 @@
         entry_link_bytes_per_s: bandwidth of each entry's link, for all its
             traffic with the store and other processes; None for unlimited.
         runners_guard_capacity: whether the runners reject what doesn't fit.
+        small_workers: how many of the workers, the last ones, have half the
+            memory and processors of the others.
 
     Attributes:
         last_fault_s: time at which a fault was last active, in seconds.
@@ -378,7 +381,9 @@
         advised: tuple[int, ...] = (),
         entry_link_bytes_per_s: float | None = None,
         runners_guard_capacity: bool = True,
+        small_workers: int = 0,
     ) -> None:
+        self._large_workers = workers - small_workers
         self.runners_guard_capacity = runners_guard_capacity
         self.rng = rng
         self._entry_link_bytes_per_s = entry_link_bytes_per_s
@@ -420,6 +425,10 @@
             self.network.links_by_address[host.address] = (outgoing, incoming)
             self.incoming_links_by_node[host.node] = incoming
 
+    def capacity_of(self, worker: int) -> model.Resources:
+        """Returns the capacity of a worker's runner by the worker's number."""
+        return CAPACITY if worker < self._large_workers else SMALL_CAPACITY
+
     def settings(self, node: str) -> boot_settings.ProcessSettings:
         """Returns the settings of a machine's process."""
         return boot_settings.ProcessSettings(
--- a/tests/test_fleet_shape.py
+++ b/tests/test_fleet_shape.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from pimentobridge.core.jobs import model
@@ -59,6 +60,23 @@
     assert shape == _shape()
 
 
+# Guards against LOST (issue 35, review/2): the comparison of two sizes ended
+# each term of the scheduler, so that no lease of a lost worker expired.
+def test_workers_of_a_service_may_differ_in_size() -> None:
+    harness = engine_harness.EngineHarness(2)
+    large = harness.incarnations[1]
+    harness.incarnations[1] = msgspec.structs.replace(
+        large, capacity=WHOLE + WHOLE, labels=harness.incarnations[0].labels
+    )
+    harness.observe_all()
+    shape = fleet_shape.FleetShape().including(
+        harness.engine.workers_by_incarnation.values()
+    )
+    assert [count.workers for count in shape.counts] == [1, 1]
+    assert shape.counts[0].shape.capacity == WHOLE
+    assert fleet_shape.decode(fleet_shape.encode(shape)) == shape
+
+
 def test_nothing_is_refused_while_no_worker_of_the_service_is_known() -> None:
     step = model.Step(1, model.Resources(1, 1, 9))
     job = engine_harness.job("a" * 16, step)
