Keep an unexpected error in one activity of a term from ending the term

Cause: all activities of a term shared a nursery whose first error ended it; one job whose placement fails kept those after it from being placed; and an error about one item of the store ended each entry that led.

Change: background activities run again after a second; the parts of a step, the jobs of a pass and the items of the store are contained one by one. What may have left the state incomplete begins a new term, after 10 s at the earliest.

--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -25,6 +25,7 @@
     from collections.abc import Iterator
 
     from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core import contained_error
     from pimentobridge.core.jobs import configuration
     from pimentobridge.core.scheduling import engine as engine_lib
 
@@ -36,6 +37,26 @@
 MAX_LOGGED_JOBS = 8
 
 
+@dataclasses.dataclass(frozen=True)
+class _Pass:
+    """State of one scheduling pass.
+
+    Attributes:
+        candidates: the workers that take tasks, with their free resources.
+        ranked: the jobs that haven't ended, in order of rank.
+        entitled: jobs that their accounts' guarantees cover.
+        held: resources held for units that are still waiting.
+        ends: when the runs on the workers are expected to end.
+    """
+
+    candidates: placement.Candidates
+    ranked: list[ledger.TrackedJob]
+    entitled: set[types.JobId]
+    held: holds.Holds
+    ends: holds.ExpectedEnds
+    now_s: float
+
+
 class Planner:
     """Places waiting units on free resources and preempts for urgent jobs.
 
@@ -43,6 +64,7 @@
         engine: the state that a pass reads and changes.
         clock: source of time.
         log: writes a log line, given an event text and fields.
+        contain: keeps an unexpected error about one job from the others.
     """
 
     def __init__(
@@ -51,10 +73,12 @@
         *,
         clock: clock_lib.Clock,
         log: Callable[..., None],
+        contain: contained_error.Contain,
     ) -> None:
         self._engine = engine
         self._clock = clock
         self._log = log
+        self._contain = contain
         self._preemptor = preemption.Preemptor(engine, clock=clock, log=log)
         # Jobs with units that didn't fit in the current pass.
         self._waiting: list[tuple[ledger.TrackedJob, placement.Demand]] = []
@@ -82,31 +106,44 @@
         )
         engine.advice.start_pass()
         self._waiting.clear()
-        held = holds.Holds(candidates)
-        ends = holds.ExpectedEnds(candidates, now_s)
         self._preemptor.start_pass(candidates)
+        current = _Pass(
+            candidates=candidates,
+            ranked=open_jobs,
+            entitled=entitled,
+            held=holds.Holds(candidates),
+            ends=holds.ExpectedEnds(candidates, now_s),
+            now_s=now_s,
+        )
         for tracked in open_jobs:
-            held.apply_to(tracked.job.queue.priority)
-            for name, unit in _ready_units(tracked):
-                demand = self._demand(tracked, name, unit, now_s)
-                if self._start(candidates, tracked, name, unit, demand):
-                    ends.invalidate()
-                    continue
-                self._waiting.append((tracked, demand))
-                if self._preemptor.make_room(
-                    candidates, tracked, demand, entitled
-                ):
-                    ends.invalidate()
-                    continue
-                if _any_less_urgent(open_jobs, tracked):
-                    self._hold(held, candidates, tracked, demand, ends)
-                if not demand.step.gang:
-                    # The step's other tasks have the same requirements, so
-                    # they don't fit either.
-                    break
+            with self._contain("placing a job", job=tracked.id) as error:
+                self._place_job(tracked, current)
+            engine.incomplete |= error.occurred
         if self._waiting:
             engine.passes.request_at(now_s + RETRY_INTERVAL_S)
 
+    def _place_job(self, tracked: ledger.TrackedJob, current: _Pass) -> None:
+        """Places a job's waiting units, makes room for them or holds some."""
+        candidates, ends = current.candidates, current.ends
+        current.held.apply_to(tracked.job.queue.priority)
+        for name, unit in _ready_units(tracked):
+            demand = self._demand(tracked, name, unit, current.now_s)
+            if self._start(candidates, tracked, name, unit, demand):
+                ends.invalidate()
+                continue
+            self._waiting.append((tracked, demand))
+            if self._preemptor.make_room(
+                candidates, tracked, demand, current.entitled
+            ):
+                ends.invalidate()
+                continue
+            if _any_less_urgent(current.ranked, tracked):
+                self._hold(current.held, candidates, tracked, demand, ends)
+            if not demand.step.gang:
+                # The step's other tasks have the same requirements, so they
+                # don't fit either.
+                break
+
     def _hold(
         self,
         held: holds.Holds,
--- a/pimentobridge/daemons/containment.py
+++ b/pimentobridge/daemons/containment.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from pimentobridge.core import contained_error
 from pimentobridge.daemons import logs
 
 if TYPE_CHECKING:
@@ -21,7 +22,9 @@
 
 
 @contextlib.contextmanager
-def contained(activity: str, **fields: object) -> Iterator[None]:
+def contained(
+    activity: str, **fields: object
+) -> Iterator[contained_error.ContainedError]:
     """Logs an unexpected error in its body, and goes on after it.
 
     Cancellation isn't an error and passes.
@@ -29,10 +32,15 @@
     Args:
         activity: what the body does.
         **fields: identify the message or task in the log.
+
+    Yields:
+        Whether the body has failed.
     """
+    outcome = contained_error.ContainedError()
     try:
-        yield
+        yield outcome
     except Exception as error:  # noqa: BLE001  whatever it is, it is logged
+        outcome.occurred = True
         logs.event(
             "unexpected error",
             activity=activity,
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -85,7 +85,7 @@
             store=store,
             prefix=keys.PREFIX,
             clock=clock,
-            on_change=self._on_item,
+            on_change=self._handle_item,
         )
         self._follower = configuration_follower.ConfigurationFollower(
             settings=settings,
@@ -365,6 +365,11 @@
 
     # Changes in the store.
 
+    def _handle_item(self, item: kv_store.Item) -> None:
+        """Handles a changed item, which every entry and each term may meet."""
+        with containment.contained("handling a change", key=item.key):
+            self._on_item(item)
+
     def _on_item(self, item: kv_store.Item) -> None:
         scheduler = self.scheduler
         if scheduler is None:
--- a/pimentobridge/daemons/recorder.py
+++ b/pimentobridge/daemons/recorder.py
@@ -88,7 +88,13 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Writes changes until cancelled."""
+        """Writes changes until cancelled.
+
+        May run again after an error. A write that was under way then counts as
+        unanswered.
+        """
+        self._in_flight.clear()
+        self._writes = 0
         async with trio.open_nursery() as nursery:
             while True:
                 batch = self._next_batch() if self._may_write else []
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -15,6 +15,7 @@
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import stalls
 from pimentobridge.daemons import advice as advice_lib
+from pimentobridge.daemons import containment
 from pimentobridge.daemons import fleet_record
 from pimentobridge.daemons import job_items
 from pimentobridge.daemons import keys
@@ -24,6 +25,7 @@
 from pimentobridge.protocol import control
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Mapping
 
@@ -44,6 +46,8 @@
 RECONNECT_AFTER_S = 1.2
 # A term that is given up because of an error lasts at least this long.
 MIN_TERM_S = 10.0
+# Time after an unexpected error until a background activity runs again.
+ERROR_PAUSE_S = 1.0
 
 
 class AgentLink:
@@ -118,7 +122,10 @@
             clock=clock, max_lease_s=settings.max_lease_s, log=logs.event
         )
         self._planner = planner_lib.Planner(
-            self.engine, clock=clock, log=logs.event
+            self.engine,
+            clock=clock,
+            log=logs.event,
+            contain=containment.contained,
         )
         self._stalls = stalls.StallDetector(
             self.engine, clock=clock, log=logs.event
@@ -157,14 +164,18 @@
     async def run(self) -> None:
         """Runs scheduling steps until cancelled.
 
-        Returns if what is known of a worker's runs is incomplete, so that a new
-        term reads it again.
+        An unexpected error in one activity ends no other. Returns some time
+        after one that may have left the state incomplete, so that a new term
+        reads it again.
         """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.recorder.run)
-            nursery.start_soon(self._retention.run)
-            nursery.start_soon(self._adviser.run)
-            nursery.start_soon(self._fleet_record.run)
+            for activity, function in (
+                ("recording progress", self.recorder.run),
+                ("deleting expired jobs", self._retention.run),
+                ("asking for advice", self._adviser.run),
+                ("recording the fleet", self._fleet_record.run),
+            ):
+                nursery.start_soon(self._run_again, activity, function)
             while True:
                 started_s = trio.current_time()
                 wait_s = STEP_INTERVAL_S
@@ -172,7 +183,7 @@
                     logs.event(
                         "scheduling given up",
                         token=self.token,
-                        why="a report couldn't be processed",
+                        why="its state may be incomplete after an error",
                     )
                     nursery.cancel_scope.cancel()
                     return
@@ -185,11 +196,23 @@
                     await self._wake.wait()
                 self._wake = trio.Event()
 
+    async def _run_again(
+        self, activity: str, function: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Runs a background activity, and again after an unexpected error."""
+        while True:
+            with containment.contained(activity, token=self.token) as error:
+                await function()
+            if not error.occurred:
+                return
+            await trio.sleep(ERROR_PAUSE_S)
+
     @property
     def _must_give_up(self) -> bool:
         """Whether to begin a new term, which reads all state again.
 
-        A report that no scheduler can process must not end every term at once.
+        An error that each term meets again must not end every term at once:
+        leases, for example, expire only in a term that lasts longer.
         """
         age_s = self._clock.monotonic() - self._started_s
         return self.engine.incomplete and age_s >= MIN_TERM_S
@@ -326,21 +349,32 @@
         return counts
 
     def _run_step(self) -> None:
-        engine = self.engine
-        engine.declare_lost()
+        for activity, function in (
+            ("finding lost workers", self.engine.declare_lost),
+            ("opening occurrences", self._open_occurrences),
+            ("finding workers", self.engine.detect_placeable_changes),
+            ("recording checkpoints", self.engine.record_checkpoints),
+            ("finding stalled runs", self._stalls.run),
+            ("placing units", self._place_units),
+            ("sending changed orders", self._send_changed_orders),
+            ("sending orders again", self._resend_to_silent_agents),
+        ):
+            with containment.contained(activity, token=self.token) as error:
+                function()
+            self.engine.incomplete |= error.occurred
+
+    def _open_occurrences(self) -> None:
         occurrences.open_due(
-            engine, early_s=self._settings.early_s, clock=self._clock
+            self.engine, early_s=self._settings.early_s, clock=self._clock
         )
-        engine.detect_placeable_changes()
-        engine.request_due_pass()
-        engine.record_checkpoints()
-        self._stalls.run()
-        if engine.needs_pass:
+
+    def _place_units(self) -> None:
+        """Runs a scheduling pass if one is due, and has changes recorded."""
+        self.engine.request_due_pass()
+        if self.engine.needs_pass:
             self._planner.run()
-        if engine.dirty_by_id:
+        if self.engine.dirty_by_id:
             self.recorder.wake()
-        self._send_changed_orders()
-        self._resend_to_silent_agents()
 
     def _send_changed_orders(self) -> None:
         for agent, link in self._links_by_agent.items():
@@ -410,7 +444,8 @@
         if key.startswith(keys.AGENTS):
             scheduler.add_agent_of(key)
         elif key.startswith(keys.JOBS):
-            load_job(scheduler, item, items)
+            with containment.contained("loading a job", key=key):
+                load_job(scheduler, item, items)
 
 
 def load_job(
--- a/pimentobridge/testing/engine_harness.py
+++ b/pimentobridge/testing/engine_harness.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from pimentobridge.core import clock as clock_lib
+from pimentobridge.core import contained_error
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
@@ -129,6 +130,7 @@
             self.engine,
             clock=self.clock,
             log=lambda message, **_: self.logged_events.append(message),
+            contain=contained_error.not_contained,
         ).run()
 
     def jobs_being_stopped(self) -> set[str]:
