Teach the soak restarts under an id, other writers and two sizes of workers

Cause: the soak's runners got a new id with each incarnation, were all of one size, and shared a process whose connections outlived them; only the store had odd entries; and an unexpected error that a process contained and logged didn't count.

Change: runners restart under their ids, with and without a cut; a connection ends with the incarnation that has accepted it; agents get heartbeats of other writers; some workers are small; each unexpected error in a log is a finding. The faults have a module of their own.

--- a/pimentobridge/lab/soak.py
+++ b/pimentobridge/lab/soak.py
@@ -9,12 +9,9 @@
 from __future__ import annotations
 
 import base64
-import contextlib
 import pathlib
 import random
-import signal
 import tempfile
-from typing import TYPE_CHECKING
 
 import httpcore
 import msgspec
@@ -24,31 +21,23 @@
 from pimentobridge.lab import checkers
 from pimentobridge.lab import operator_documents
 from pimentobridge.lab import simulation
+from pimentobridge.lab import soak_faults
+from pimentobridge.lab import unexpected_errors
 from pimentobridge.platform import operator_configuration
 from pimentobridge.testing import loopback_proxy
-from pimentobridge.testing import odd_entries
 from pimentobridge.testing import platform_processes
 from pimentobridge.testing import platform_servers
 
-if TYPE_CHECKING:
-    from collections.abc import Awaitable
-    from collections.abc import Callable
-    from collections.abc import Iterator
-
 ENTRIES = simulation.ENTRIES
 # The random gangs need as many workers as the simulation has.
 WORKERS = simulation.WORKERS
 DAEMON_PORTS = 4
 START_TIMEOUT_S = 60.0
 JOB_INTERVAL_S = 0.8
-FAULT_INTERVAL_S = 1.5
 CANCEL_SHARE = 0.1
 # Every accepted job must end within this time after the traffic.
 COMPLETION_TIMEOUT_S = 90.0
 RESTART_DELAY_S = 0.5
-TERMINATION_GRACE_S = 6.0
-# Share of the tasks first started during the fault that crash their runners.
-DEADLY_SHARE = 0.2
 
 
 class SoakResult(msgspec.Struct, frozen=True):
@@ -89,13 +78,11 @@
         self._seconds = seconds
         # A seed reproduces the faults; the traffic also depends on timing.
         self._rng = random.Random(f"traffic {seed}")
-        self._fault_rng = random.Random(f"faults {seed}")
         port = platform_processes.base_port()
         self._processes = platform_processes.Processes(folder, port=port)
         self._port = port + DAEMON_PORTS
-        self._last_fault_s = float("-inf")
         self._checker = checkers.Checker(
-            trio.current_time, lambda: self._last_fault_s
+            trio.current_time, lambda: self._faults.last_active_s
         )
         self._platform = platform_servers.FakePlatform(
             self._format_address(self._store_address),
@@ -107,15 +94,13 @@
                 for n in range(WORKERS)
             ],
             self._checker,
+            small_workers=seed % (WORKERS // 2),
+        )
+        self._faults = soak_faults.SoakFaults(
+            random.Random(f"faults {seed}"),
+            processes=self._processes,
+            platform=self._platform,
         )
-        self._store_proxies_by_process: dict[
-            str, loopback_proxy.LoopbackProxy
-        ] = {}
-        self._runner_proxies: list[loopback_proxy.LoopbackProxy] = []
-        self._faults: list[str] = []
-        self._active_faults: set[str] = set()
-        # Processes that a fault has ended and that aren't restarted yet.
-        self._ended: set[str] = set()
         # Exits that no fault has caused.
         self._exits: list[str] = []
 
@@ -147,13 +132,23 @@
         return SoakResult(
             seed=self._seed,
             seconds=self._seconds,
-            findings=self._checker.finish() + self._exits,
-            faults=self._faults,
+            findings=self._checker.finish() + self._exits + self._errors(),
+            faults=self._faults.injected,
             submitted=len(jobs),
             accepted=sum(job.accepted for job in jobs),
             started=self._checker.started,
         )
 
+    def _errors(self) -> list[str]:
+        """Returns the unexpected errors in the logs of all processes."""
+        return [
+            f"FAULT in {name}: {error}"
+            for name in self._faults.store_proxies_by_process
+            for error in unexpected_errors.in_log(
+                self._processes.read_log(name)
+            )
+        ]
+
     def _launch_processes(self, nursery: trio.Nursery) -> None:
         for number in range(ENTRIES):
             name = f"entry-{number}"
@@ -166,7 +161,7 @@
             listen = ("127.0.5.1", target[1])
             proxy = loopback_proxy.LoopbackProxy(listen, target)
             nursery.start_soon(proxy.run)
-            self._runner_proxies.append(proxy)
+            self._faults.runner_proxies.append(proxy)
             self._processes.launch_agent(
                 number, store=store, runner=self._format_address(listen)
             )
@@ -177,7 +172,7 @@
         listen = (f"127.0.4.{last_octet}", self._port)
         proxy = loopback_proxy.LoopbackProxy(listen, self._store_address)
         nursery.start_soon(proxy.run)
-        self._store_proxies_by_process[name] = proxy
+        self._faults.store_proxies_by_process[name] = proxy
         return self._format_address(listen)
 
     def _put_configuration(self) -> None:
@@ -191,11 +186,11 @@
         """Restarts processes that have exited, as the platform does."""
         while True:
             await trio.sleep(RESTART_DELAY_S)
-            for name in self._store_proxies_by_process:
+            for name in self._faults.store_proxies_by_process:
                 if self._processes.has_exited(name):
-                    if name not in self._ended:
+                    if name not in self._faults.ended:
                         self._exits.append(f"{name} ended by itself")
-                    self._ended.discard(name)
+                    self._faults.ended.discard(name)
                     self._processes.start(name)
 
     async def _wait_ready(self) -> None:
@@ -209,7 +204,7 @@
         until_s = trio.current_time() + self._seconds + COMPLETION_TIMEOUT_S
         async with trio.open_nursery() as traffic:
             traffic.start_soon(
-                self._inject_faults, trio.current_time() + self._seconds
+                self._faults.inject, trio.current_time() + self._seconds
             )
             number = 0
             while trio.current_time() < until_s - COMPLETION_TIMEOUT_S:
@@ -265,169 +260,6 @@
 
         return call
 
-    # Faults.
-
-    async def _inject_faults(self, until_s: float) -> None:
-        injectors: list[Callable[[float], Awaitable[None]]] = [
-            self._kill,
-            self._terminate,
-            self._pause,
-            self._disconnect_from_store,
-            self._disconnect_all_from_store,
-            self._silence_connections,
-            self._reset_connections,
-            self._slow_runner_calls,
-            self._make_store_busy,
-            self._crash_runner,
-            self._make_tasks_deadly,
-            self._shrink_capacity,
-            self._leave_odd_entries,
-        ]
-        async with trio.open_nursery() as nursery:
-            while trio.current_time() < until_s:
-                await trio.sleep(
-                    self._fault_rng.expovariate(1 / FAULT_INTERVAL_S)
-                )
-                nursery.start_soon(
-                    self._fault_rng.choice(injectors),
-                    self._fault_rng.uniform(0.3, 4.0),
-                )
-
-    @contextlib.contextmanager
-    def _recorded_fault(self, description: str) -> Iterator[None]:
-        self._faults.append(f"{trio.current_time():.2f} {description}")
-        self._last_fault_s = float("inf")
-        self._active_faults.add(description)
-        try:
-            yield
-        finally:
-            self._active_faults.discard(description)
-            if not self._active_faults:
-                self._last_fault_s = trio.current_time()
-
-    def _random_process(self) -> str:
-        return self._fault_rng.choice(list(self._store_proxies_by_process))
-
-    async def _kill(self, duration_s: float) -> None:
-        del duration_s
-        name = self._random_process()
-        with self._recorded_fault(f"kill {name}"):
-            self._end(name, signal.SIGKILL)
-
-    async def _terminate(self, duration_s: float) -> None:
-        del duration_s
-        name = self._random_process()
-        with self._recorded_fault(f"terminate {name}"):
-            self._end(name, signal.SIGTERM)
-            with trio.move_on_after(TERMINATION_GRACE_S):
-                while not self._processes.has_exited(name):
-                    await trio.sleep(0.05)
-            if not self._processes.has_exited(name):
-                self._end(name, signal.SIGKILL)
-
-    def _end(self, name: str, number: signal.Signals) -> None:
-        """Ends a process, unless it has exited."""
-        if not self._processes.has_exited(name):
-            self._ended.add(name)
-            self._processes.signal(name, number)
-
-    async def _pause(self, duration_s: float) -> None:
-        name = self._random_process()
-        with self._recorded_fault(f"pause {name} for {duration_s:.1f} s"):
-            self._processes.signal(name, signal.SIGSTOP)
-            await trio.sleep(duration_s)
-            self._processes.signal(name, signal.SIGCONT)
-
-    async def _disconnect_from_store(self, duration_s: float) -> None:
-        name = self._random_process()
-        link_fault = self._fault_rng.choice(list(loopback_proxy.LinkFault))
-        with self._recorded_fault(
-            f"disconnect {name} from the store, {link_fault.value}"
-        ):
-            await self._apply_link_fault(
-                self._store_proxies_by_process[name], link_fault, duration_s
-            )
-
-    async def _disconnect_all_from_store(self, duration_s: float) -> None:
-        link_fault = self._fault_rng.choice(list(loopback_proxy.LinkFault))
-        with self._recorded_fault(
-            f"disconnect all from the store, {link_fault.value}"
-        ):
-            async with trio.open_nursery() as nursery:
-                for proxy in self._store_proxies_by_process.values():
-                    nursery.start_soon(
-                        self._apply_link_fault, proxy, link_fault, duration_s
-                    )
-
-    async def _apply_link_fault(
-        self,
-        proxy: loopback_proxy.LoopbackProxy,
-        link_fault: loopback_proxy.LinkFault,
-        duration_s: float,
-    ) -> None:
-        proxy.link_fault = link_fault
-        if link_fault is loopback_proxy.LinkFault.RESET:
-            proxy.reset_open_connections()
-        await trio.sleep(duration_s)
-        proxy.link_fault = None
-
-    def _random_proxy(self) -> loopback_proxy.LoopbackProxy:
-        return self._fault_rng.choice(
-            [*self._store_proxies_by_process.values(), *self._runner_proxies]
-        )
-
-    async def _silence_connections(self, duration_s: float) -> None:
-        del duration_s
-        with self._recorded_fault("silence open connections"):
-            self._random_proxy().silence_open_connections()
-
-    async def _reset_connections(self, duration_s: float) -> None:
-        del duration_s
-        with self._recorded_fault("reset open connections"):
-            self._random_proxy().reset_open_connections()
-
-    async def _slow_runner_calls(self, duration_s: float) -> None:
-        number = self._fault_rng.randrange(WORKERS)
-        proxy = self._runner_proxies[number]
-        with self._recorded_fault(f"slow down calls to runner {number}"):
-            proxy.delay_s = self._fault_rng.uniform(0.05, 1.0)
-            await trio.sleep(duration_s)
-            proxy.delay_s = 0.0
-
-    async def _make_store_busy(self, duration_s: float) -> None:
-        with self._recorded_fault(f"store busy for {duration_s:.1f} s"):
-            self._platform.store_busy = True
-            await trio.sleep(duration_s)
-            self._platform.store_busy = False
-
-    async def _crash_runner(self, duration_s: float) -> None:
-        del duration_s
-        number = self._fault_rng.randrange(WORKERS)
-        with self._recorded_fault(f"crash runner {number}"):
-            self._platform.crash(number)
-
-    async def _make_tasks_deadly(self, duration_s: float) -> None:
-        with self._recorded_fault(f"deadly tasks for {duration_s:.1f} s"):
-            self._platform.pool.deadly_share = DEADLY_SHARE
-            await trio.sleep(duration_s)
-            self._platform.pool.deadly_share = 0.0
-
-    async def _shrink_capacity(self, duration_s: float) -> None:
-        number = self._fault_rng.randrange(WORKERS)
-        runner = self._platform.runners[number]
-        with self._recorded_fault(f"halve the capacity of runner {number}"):
-            before = runner.halve_capacity()
-            await trio.sleep(duration_s)
-            runner.resize(before)
-
-    async def _leave_odd_entries(self, duration_s: float) -> None:
-        """Another writer leaves entries in the store that can't be read."""
-        del duration_s
-        with self._recorded_fault("leave odd entries"):
-            for key, value in odd_entries.values_by_key().items():
-                encoded = base64.b64encode(value).decode()
-                self._platform.store.put(key, encoded)
-
 
 async def _status(url: str) -> int:
     """Returns the status of a GET request, or 0 if there was no response."""
--- /dev/null
+++ b/pimentobridge/lab/soak_faults.py
@@ -0,0 +1,292 @@
+"""Faults of a soak test, injected into its processes and connections."""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import signal
+from typing import TYPE_CHECKING
+
+import httpcore
+import trio
+
+from pimentobridge.core import types
+from pimentobridge.core.jobs import runs
+from pimentobridge.testing import loopback_proxy
+from pimentobridge.testing import odd_entries
+from pimentobridge.testing import odd_heartbeats
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Iterator
+    import random
+
+    from pimentobridge.testing import platform_processes
+    from pimentobridge.testing import platform_servers
+
+FAULT_INTERVAL_S = 1.5
+TERMINATION_GRACE_S = 6.0
+# Share of the tasks first started during the fault that crash their runners.
+DEADLY_SHARE = 0.2
+ODD_HEARTBEAT_TIMEOUT_S = 1.0
+
+
+class SoakFaults:
+    """Injects random faults, and knows which are active.
+
+    Args:
+        rng: chooses the faults and their times.
+        processes: the processes of the system.
+        platform: the platform around them.
+
+    Attributes:
+        store_proxies_by_process: the proxy between each process and the store.
+        runner_proxies: the proxy between each agent and its runner, by number.
+        injected: the faults so far, each with its start time in seconds.
+        last_active_s: time at which a fault was last active, in seconds;
+            infinity while one is.
+        ended: processes that a fault has ended and that aren't restarted yet.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        processes: platform_processes.Processes,
+        platform: platform_servers.FakePlatform,
+    ) -> None:
+        self._rng = rng
+        self._processes = processes
+        self._platform = platform
+        self.store_proxies_by_process: dict[
+            str, loopback_proxy.LoopbackProxy
+        ] = {}
+        self.runner_proxies: list[loopback_proxy.LoopbackProxy] = []
+        self.injected: list[str] = []
+        self.last_active_s = float("-inf")
+        self.ended: set[str] = set()
+        self._active: set[str] = set()
+
+    def _random_worker(self) -> int:
+        return self._rng.randrange(len(self.runner_proxies))
+
+    async def inject(self, until_s: float) -> None:
+        """Injects faults at random times, which may overlap.
+
+        Args:
+            until_s: time at which the last one may begin, in seconds.
+        """
+        injectors: list[Callable[[float], Awaitable[None]]] = [
+            self._kill,
+            self._terminate,
+            self._pause,
+            self._disconnect_from_store,
+            self._disconnect_all_from_store,
+            self._silence_connections,
+            self._reset_connections,
+            self._slow_runner_calls,
+            self._make_store_busy,
+            self._crash_runner,
+            self._restart_runner_under_its_id,
+            self._restart_runner_behind_cut,
+            self._make_tasks_deadly,
+            self._shrink_capacity,
+            self._leave_odd_entries,
+            self._send_odd_heartbeats,
+        ]
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until_s:
+                await trio.sleep(self._rng.expovariate(1 / FAULT_INTERVAL_S))
+                nursery.start_soon(
+                    self._rng.choice(injectors),
+                    self._rng.uniform(0.3, 4.0),
+                )
+
+    @contextlib.contextmanager
+    def _recorded_fault(self, description: str) -> Iterator[None]:
+        self.injected.append(f"{trio.current_time():.2f} {description}")
+        self.last_active_s = float("inf")
+        self._active.add(description)
+        try:
+            yield
+        finally:
+            self._active.discard(description)
+            if not self._active:
+                self.last_active_s = trio.current_time()
+
+    def _random_process(self) -> str:
+        return self._rng.choice(list(self.store_proxies_by_process))
+
+    async def _kill(self, duration_s: float) -> None:
+        del duration_s
+        name = self._random_process()
+        with self._recorded_fault(f"kill {name}"):
+            self._end(name, signal.SIGKILL)
+
+    async def _terminate(self, duration_s: float) -> None:
+        del duration_s
+        name = self._random_process()
+        with self._recorded_fault(f"terminate {name}"):
+            self._end(name, signal.SIGTERM)
+            with trio.move_on_after(TERMINATION_GRACE_S):
+                while not self._processes.has_exited(name):
+                    await trio.sleep(0.05)
+            if not self._processes.has_exited(name):
+                self._end(name, signal.SIGKILL)
+
+    def _end(self, name: str, number: signal.Signals) -> None:
+        """Ends a process, unless it has exited."""
+        if not self._processes.has_exited(name):
+            self.ended.add(name)
+            self._processes.signal(name, number)
+
+    async def _pause(self, duration_s: float) -> None:
+        name = self._random_process()
+        with self._recorded_fault(f"pause {name} for {duration_s:.1f} s"):
+            self._processes.signal(name, signal.SIGSTOP)
+            await trio.sleep(duration_s)
+            self._processes.signal(name, signal.SIGCONT)
+
+    async def _disconnect_from_store(self, duration_s: float) -> None:
+        name = self._random_process()
+        link_fault = self._rng.choice(list(loopback_proxy.LinkFault))
+        with self._recorded_fault(
+            f"disconnect {name} from the store, {link_fault.value}"
+        ):
+            await self._apply_link_fault(
+                self.store_proxies_by_process[name], link_fault, duration_s
+            )
+
+    async def _disconnect_all_from_store(self, duration_s: float) -> None:
+        link_fault = self._rng.choice(list(loopback_proxy.LinkFault))
+        with self._recorded_fault(
+            f"disconnect all from the store, {link_fault.value}"
+        ):
+            async with trio.open_nursery() as nursery:
+                for proxy in self.store_proxies_by_process.values():
+                    nursery.start_soon(
+                        self._apply_link_fault, proxy, link_fault, duration_s
+                    )
+
+    async def _apply_link_fault(
+        self,
+        proxy: loopback_proxy.LoopbackProxy,
+        link_fault: loopback_proxy.LinkFault,
+        duration_s: float,
+    ) -> None:
+        proxy.link_fault = link_fault
+        if link_fault is loopback_proxy.LinkFault.RESET:
+            proxy.reset_open_connections()
+        await trio.sleep(duration_s)
+        proxy.link_fault = None
+
+    def _random_proxy(self) -> loopback_proxy.LoopbackProxy:
+        return self._rng.choice(
+            [*self.store_proxies_by_process.values(), *self.runner_proxies]
+        )
+
+    async def _silence_connections(self, duration_s: float) -> None:
+        del duration_s
+        with self._recorded_fault("silence open connections"):
+            self._random_proxy().silence_open_connections()
+
+    async def _reset_connections(self, duration_s: float) -> None:
+        del duration_s
+        with self._recorded_fault("reset open connections"):
+            self._random_proxy().reset_open_connections()
+
+    async def _slow_runner_calls(self, duration_s: float) -> None:
+        number = self._random_worker()
+        proxy = self.runner_proxies[number]
+        with self._recorded_fault(f"slow down calls to runner {number}"):
+            proxy.delay_s = self._rng.uniform(0.05, 1.0)
+            await trio.sleep(duration_s)
+            proxy.delay_s = 0.0
+
+    async def _make_store_busy(self, duration_s: float) -> None:
+        with self._recorded_fault(f"store busy for {duration_s:.1f} s"):
+            self._platform.store_busy = True
+            await trio.sleep(duration_s)
+            self._platform.store_busy = False
+
+    async def _crash_runner(self, duration_s: float) -> None:
+        del duration_s
+        number = self._random_worker()
+        with self._recorded_fault(f"crash runner {number}"):
+            self._platform.crash(number)
+
+    async def _restart_runner_under_its_id(self, duration_s: float) -> None:
+        del duration_s
+        number = self._random_worker()
+        with self._recorded_fault(f"restart runner {number} under its id"):
+            self._platform.crash(number, keeps_id=True)
+            self.runner_proxies[number].reset_open_connections()
+
+    async def _restart_runner_behind_cut(self, duration_s: float) -> None:
+        number = self._random_worker()
+        with self._recorded_fault(
+            f"restart runner {number} under its id behind a cut of"
+            f" {duration_s:.1f} s"
+        ):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._cut_off_runner, number, duration_s)
+                await trio.sleep(duration_s / 2)
+                self._platform.crash(number, keeps_id=True)
+
+    async def _cut_off_runner(self, number: int, duration_s: float) -> None:
+        self._platform.cut_off.add(number)
+        await self._apply_link_fault(
+            self.runner_proxies[number],
+            loopback_proxy.LinkFault.ALL,
+            duration_s,
+        )
+        self._platform.cut_off.discard(number)
+
+    async def _make_tasks_deadly(self, duration_s: float) -> None:
+        with self._recorded_fault(f"deadly tasks for {duration_s:.1f} s"):
+            self._platform.pool.deadly_share = DEADLY_SHARE
+            await trio.sleep(duration_s)
+            self._platform.pool.deadly_share = 0.0
+
+    async def _shrink_capacity(self, duration_s: float) -> None:
+        number = self._random_worker()
+        runner = self._platform.runners[number]
+        with self._recorded_fault(f"halve the capacity of runner {number}"):
+            before = runner.halve_capacity()
+            await trio.sleep(duration_s)
+            runner.resize(before)
+
+    async def _leave_odd_entries(self, duration_s: float) -> None:
+        """Another writer leaves entries in the store that can't be read."""
+        del duration_s
+        with self._recorded_fault("leave odd entries"):
+            for key, value in odd_entries.values_by_key().items():
+                encoded = base64.b64encode(value).decode()
+                self._platform.store.put(key, encoded)
+
+    async def _send_odd_heartbeats(self, duration_s: float) -> None:
+        """Another writer sends heartbeats to an agent."""
+        del duration_s
+        number = self._random_worker()
+        runner = self._platform.runners[number]
+        key = runs.IncarnationKey(
+            types.WorkerId(runner.worker), runner.started_ms
+        )
+        url = f"http://{self._processes.control_address(number)}"
+        with self._recorded_fault(f"send odd heartbeats to agent {number}"):
+            async with httpcore.AsyncConnectionPool() as pool:
+                for odd in odd_heartbeats.for_worker(key):
+                    with trio.move_on_after(ODD_HEARTBEAT_TIMEOUT_S):
+                        await self._post(pool, url + odd.path, odd.body)
+
+    async def _post(
+        self, pool: httpcore.AsyncConnectionPool, url: str, body: bytes
+    ) -> None:
+        """Posts a body to a process that may be down."""
+        with contextlib.suppress(
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            await pool.request("POST", url, content=body)
--- a/pimentobridge/testing/platform_servers.py
+++ b/pimentobridge/testing/platform_servers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import dataclasses
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -26,20 +27,42 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    # Arguments: method, path, decoded body and expected instance.
-    Handler = Callable[[str, str, Any, str], Awaitable[http_client.Answer]]
+    Handler = Callable[["Call"], Awaitable[http_client.Answer]]
 
 CAPACITY = model.Resources(32_000, 128_000, 8)
+SMALL_CAPACITY = model.Resources(16_000, 64_000, 8)
 SERVICE = "plans"
 MAX_LEASE_S = 6.0
 HEARTBEAT_INTERVAL_S = 0.5
 # Time after which a runner that a task has crashed is back.
 RUNNER_RESTART_S = 1.5
+# Answer on a connection whose process has ended, which is then closed.
+ENDED_STATUS = 500
 OPERATOR_PATH = "/operator/"
 STARTS_PATH = "/starts"
 WORKERS_PER_RACK = 3
 
 
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A call to a service of the platform.
+
+    Attributes:
+        path: path and query.
+        body: decoded body; None if there is none.
+        expected_worker: worker to which the call is addressed; empty if the
+            caller named none.
+        connection: the caller's address and port, the same for all calls on a
+            connection.
+    """
+
+    method: str
+    path: str
+    body: Any
+    expected_worker: str
+    connection: tuple[str, int]
+
+
 class _App:
     """ASGI application that passes requests to a handler."""
 
@@ -56,14 +79,20 @@
         query = scope["query_string"].decode()
         path = scope["path"] + (f"?{query}" if query else "")
         body = msgspec.json.decode(content) if content else None
-        expected_instance = http.header(scope, "expected-instance")
-        answer = await self._handler(
-            scope["method"], path, body, expected_instance
+        call = Call(
+            method=scope["method"],
+            path=path,
+            body=body,
+            expected_worker=http.header(scope, "expected-instance"),
+            connection=tuple(scope["client"]),
         )
-        await http.send_response(
-            send,
-            http.Response(answer.status, msgspec.json.encode(answer.body)),
+        answer = await self._handler(call)
+        response = http.Response(
+            answer.status, msgspec.json.encode(answer.body)
         )
+        if answer.status == ENDED_STATUS:
+            response.headers.append((b"connection", b"close"))
+        await http.send_response(send, response)
 
 
 class _RunCounter(platform_runner.RunObserver):
@@ -99,9 +128,12 @@
         runner_addresses: address of each runner, and the control address of its
             agent.
         observer: receives the events of all runners.
+        small_workers: how many of the workers, the last ones, have half the
+            memory and processors of the others.
 
     Attributes:
         store: the fake store.
+        cut_off: numbers of the runners that send no heartbeats.
         store_busy: whether the store rejects every call with status 503.
         pool: all runners.
         runners: the current incarnation of each worker's runner.
@@ -112,6 +144,8 @@
         store_address: str,
         runner_addresses: Sequence[tuple[str, str]],
         observer: platform_runner.RunObserver,
+        *,
+        small_workers: int = 0,
     ) -> None:
         self._store_address = store_address
         self._runner_addresses = runner_addresses
@@ -119,7 +153,11 @@
         self.store_busy = False
         self.pool = platform_runner.RunnerPool(trio.current_time, observer)
         self._incarnations = 0
-        self.runners = [self._new_runner() for _ in runner_addresses]
+        self._small_workers = small_workers
+        self.runners = [
+            self._new_runner(number) for number in range(len(runner_addresses))
+        ]
+        self.cut_off: set[int] = set()
 
     async def run(self, *, fallback: Handler | None = None) -> None:
         """Serves until cancelled.
@@ -130,16 +168,16 @@
         """
         never_shut_down = trio.Event()
 
-        async def handle_store(
-            method: str, path: str, body: Any, expected_instance: str
-        ) -> http_client.Answer:
-            if path.startswith("/v1/"):
+        async def handle_store(call: Call) -> http_client.Answer:
+            if call.path.startswith("/v1/"):
                 if self.store_busy:
                     return http_client.Answer(503, {})
-                return await self.store.handle(method, path, body)
+                return await self.store.handle(
+                    call.method, call.path, call.body
+                )
             if fallback is None:
                 return http_client.Answer(404, {})
-            return await fallback(method, path, body, expected_instance)
+            return await fallback(call)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.pool.run)
@@ -157,31 +195,52 @@
                 )
                 nursery.start_soon(self._send_heartbeats, number)
 
-    def crash(self, number: int) -> None:
-        """Crashes a runner and starts a new incarnation at the same address."""
-        self.runners[number].crash()
-        self.runners[number] = self._new_runner()
+    def crash(self, number: int, *, keeps_id: bool = False) -> None:
+        """Crashes a runner and starts a new incarnation at the same address.
 
-    def _new_runner(self) -> platform_runner.PlatformRunner:
+        Args:
+            number: number of the runner.
+            keeps_id: whether the new incarnation has the id of the old one.
+        """
+        crashed = self.runners[number]
+        crashed.crash()
+        self.runners[number] = self._new_runner(
+            number, crashed.worker if keeps_id else None
+        )
+
+    def _new_runner(
+        self, number: int, worker: str | None = None
+    ) -> platform_runner.PlatformRunner:
         self._incarnations += 1
+        is_small = number >= len(self._runner_addresses) - self._small_workers
         return platform_runner.PlatformRunner(
             self.pool,
-            f"worker-{self._incarnations}",
-            CAPACITY,
+            worker or f"worker-{self._incarnations}",
+            SMALL_CAPACITY if is_small else CAPACITY,
             started_ms=int(time.time() * 1000) + self._incarnations,
             max_lease_s=MAX_LEASE_S,
         )
 
     def _runner_handler(self, number: int) -> Handler:
-        async def handle(
-            method: str, path: str, body: Any, expected_instance: str
-        ) -> http_client.Answer:
-            del method
-            if not self.runners[number].up:
-                return http_client.Answer(503, {})
-            return await self.runners[number].handle(
-                path, body, expected_instance
+        # A connection ends with the incarnation that has accepted it.
+        runners_by_connection: dict[
+            tuple[str, int], platform_runner.PlatformRunner
+        ] = {}
+
+        async def handle(call: Call) -> http_client.Answer:
+            runner = runners_by_connection.setdefault(
+                call.connection, self.runners[number]
             )
+            answer = http_client.Answer(ENDED_STATUS, {})
+            if runner.up:
+                answer = await runner.handle(
+                    call.path, call.body, call.expected_worker
+                )
+            if not runner.up:
+                # The port may be used again by another connection.
+                runners_by_connection.pop(call.connection, None)
+                return http_client.Answer(ENDED_STATUS, {})
+            return answer
 
         return handle
 
@@ -195,7 +254,10 @@
             if not runner.up:
                 await trio.sleep(RUNNER_RESTART_S)
                 if self.runners[number] is runner:
-                    self.runners[number] = self._new_runner()
+                    self.runners[number] = self._new_runner(number)
+                continue
+            if number in self.cut_off:
+                await trio.sleep(HEARTBEAT_INTERVAL_S)
                 continue
             await client.call(
                 "POST",
@@ -234,15 +296,12 @@
     counter = _RunCounter()
     platform = FakePlatform(store_address, runner_addresses, counter)
 
-    async def fallback(
-        method: str, path: str, body: Any, expected_instance: str
-    ) -> http_client.Answer:
-        del method, expected_instance
-        if path.startswith(OPERATOR_PATH):
-            key = path.removeprefix(OPERATOR_PATH)
-            platform.store.put(key, body["value"])
+    async def fallback(call: Call) -> http_client.Answer:
+        if call.path.startswith(OPERATOR_PATH):
+            key = call.path.removeprefix(OPERATOR_PATH)
+            platform.store.put(key, call.body["value"])
             return http_client.Answer(200, {})
-        if path == STARTS_PATH:
+        if call.path == STARTS_PATH:
             return http_client.Answer(
                 200, {"starts": counter.starts, "done": counter.done_by_task}
             )
