Number relayed writes from a random start

Cause: each process counted its requests from 1.

Change: the first number is random.

The test before: the write counted as written (WRITTEN in place of UNKNOWN). After: 2 passed.

--- a/pimentobridge/daemons/write_relay.py
+++ b/pimentobridge/daemons/write_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import TYPE_CHECKING
 
 import trio
@@ -17,6 +18,8 @@
 ANSWER_TIMEOUT_S = 0.6
 # Limit on the entries that are asked to make one write.
 MAX_PEERS = 3
+# Size of the first sequence number.
+SEQUENCE_BITS = 48
 
 
 class Relay:
@@ -36,7 +39,9 @@
         self._endpoint = endpoint
         self._peers = peers
         self._writes_by_sequence: dict[int, _Write] = {}
-        self._sequence = 0
+        # An answer to a request of the process that ran here before may arrive
+        # late, and must not count as one to a request of this one.
+        self._sequence = secrets.randbits(SEQUENCE_BITS)
 
     async def write(
         self, job_id: types.JobId, value: bytes | None
