Order an agent's reports by its process, not by the machine's boot

Cause: an agent stamps its reports with the boot-time clock, and the scheduler ignored those that weren't newer than the newest of that address. A power loss sets the clock back.

Change: each process of an agent has a random name, which reports carry and orders return. One of another process is newer, unless it was replaced before; an agent obeys only orders that answer its own reports.

--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -15,6 +15,7 @@
 from pimentobridge.core.scheduling import planner as planner_lib
 from pimentobridge.core.scheduling import stalls
 from pimentobridge.daemons import advice as advice_lib
+from pimentobridge.daemons import agent_link
 from pimentobridge.daemons import containment
 from pimentobridge.daemons import fleet_record
 from pimentobridge.daemons import job_items
@@ -50,30 +51,6 @@
 ERROR_PAUSE_S = 1.0
 
 
-class AgentLink:
-    """State of the exchange of reports and orders with one agent.
-
-    Times are monotonic times of this process unless stated otherwise.
-
-    Attributes:
-        echo_s: `sent_s` of the newest report, on the agent's clock; orders
-            return it.
-        report_received_s: when the newest report arrived.
-        resent_s: when orders were last sent again for lack of a report; 0
-            before the first time.
-        reconnected_s: when the connection was opened or last replaced.
-        sent_instructions: the instructions in the newest orders; None if they
-            had none.
-    """
-
-    def __init__(self, now_s: float) -> None:
-        self.echo_s = 0.0
-        self.report_received_s = now_s
-        self.resent_s = 0.0
-        self.reconnected_s = now_s
-        self.sent_instructions: runs.Instructions | None = None
-
-
 class Scheduler:
     """Schedules for one term, from acquiring the leader's key to losing it.
 
@@ -117,7 +94,7 @@
         self._entries = entries
         self._started_s = clock.monotonic()
         self._wake = trio.Event()
-        self._links_by_agent: dict[types.Address, AgentLink] = {}
+        self._links_by_agent: dict[types.Address, agent_link.AgentLink] = {}
         self.engine = engine_lib.Engine(
             clock=clock, max_lease_s=settings.max_lease_s, log=logs.event
         )
@@ -260,7 +237,9 @@
     def add_agent(self, agent: types.Address) -> None:
         """Starts sending orders to an agent, unless it has started already."""
         if agent not in self._links_by_agent:
-            self._links_by_agent[agent] = AgentLink(self._clock.monotonic())
+            self._links_by_agent[agent] = agent_link.AgentLink(
+                self._clock.monotonic()
+            )
             self._wake.set()
 
     def add_agent_of(self, key: str) -> None:
@@ -277,7 +256,7 @@
         """
         self.add_agent(report.agent)
         link = self._links_by_agent[report.agent]
-        if report.sent_s <= link.echo_s:
+        if not link.is_newer(report):
             return
         if report.token > self.token:
             logs.event(
@@ -286,8 +265,7 @@
                 token=report.token,
             )
             return
-        link.echo_s = report.sent_s
-        link.report_received_s = self._clock.monotonic()
+        link.on_report(report, self._clock.monotonic())
         self._reconnect_if_unanswered(report, link)
         if report.worker is not None and report.token == self.token:
             self.engine.observe(report.agent, report.worker)
@@ -298,7 +276,7 @@
             self._wake.set()
 
     def _reconnect_if_unanswered(
-        self, report: control.WorkerReport, link: AgentLink
+        self, report: control.WorkerReport, link: agent_link.AgentLink
     ) -> None:
         """Replaces the connection if the orders don't reach the agent.
 
@@ -413,7 +391,9 @@
             return None
         return orders.instructions_for(worker, self.engine.jobs_by_id)
 
-    def _send_orders(self, agent: types.Address, link: AgentLink) -> None:
+    def _send_orders(
+        self, agent: types.Address, link: agent_link.AgentLink
+    ) -> None:
         if not self._leadership.is_leader:
             return
         link.sent_instructions = self._instructions_for(agent)
@@ -422,6 +402,7 @@
             control.WorkerOrders(
                 scheduler=self._address,
                 token=self.token,
+                process=link.process,
                 echo_s=link.echo_s,
                 worker=link.sent_instructions,
                 entries=self._entries(),
--- a/pimentobridge/daemons/trio_clock.py
+++ b/pimentobridge/daemons/trio_clock.py
@@ -16,15 +16,19 @@
     Args:
         origin: date and time that `now` starts from, in UTC; None for the
             actual time.
+        booted_s: trio's time at which the machine booted, in seconds.
     """
 
-    def __init__(self, origin: datetime.datetime | None = None) -> None:
+    def __init__(
+        self, origin: datetime.datetime | None = None, *, booted_s: float = 0.0
+    ) -> None:
         self._origin = origin or datetime.datetime.now(tz=datetime.UTC)
         self._start_s = trio.current_time()
+        self._booted_s = booted_s
 
     def monotonic(self) -> float:
-        """Returns trio's time in seconds."""
-        return trio.current_time()
+        """Returns the seconds since the machine booted, in trio's time."""
+        return trio.current_time() - self._booted_s
 
     def now(self) -> datetime.datetime:
         """Returns the date and time in UTC."""
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -52,6 +52,7 @@
             the machine was suspended.
         entries: addresses of entries, which forward reports to the scheduler;
             orders replace them.
+        nonce: unique to this process.
     """
 
     def __init__(
@@ -63,8 +64,10 @@
         store: kv_store.KvStore,
         clock: clock_lib.Clock,
         entries: tuple[types.Address, ...],
+        nonce: str,
     ) -> None:
         self._settings = settings
+        self._process = nonce
         self._endpoint = endpoint
         self._runner = runner
         self._clock = clock
@@ -95,7 +98,6 @@
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
         self._state = runs.AgentState.SERVING
-        self._started_s = clock.monotonic()
         self._view = self._new_view()
 
     def _new_view(self) -> worker_view.WorkerView:
@@ -277,7 +279,8 @@
             self._wake_report.set()
         if orders.entries:
             self._reports.entries = orders.entries
-        if orders.echo_s and not self._is_own_report(orders.echo_s):
+        if orders.echo_s and orders.process != self._process:
+            # They answer a report of the agent that ran here before.
             return
         if orders.echo_s < self._answered_s or orders.echo_s == 0.0:
             if orders.echo_s == 0.0:
@@ -295,13 +298,6 @@
             self._wake_poll.set()
         self._act_on(instructions)
 
-    def _is_own_report(self, sent_s: float) -> bool:
-        """Whether a report with that sending time can be this agent's.
-
-        Orders for the agent that ran here before may arrive late.
-        """
-        return self._started_s <= sent_s <= self._clock.monotonic()
-
     def _act_on(self, instructions: runs.Instructions) -> None:
         ordered = {order.key for order in instructions.starts}
         ordered |= set(instructions.stops)
@@ -556,6 +552,7 @@
         now_s = self._clock.monotonic()
         report = control.WorkerReport(
             agent=self._endpoint.address,
+            process=self._process,
             token=self._token,
             sent_s=now_s,
             answered_s=self._answered_s,
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+import uuid
 
 import trio
 
@@ -52,6 +53,7 @@
             types.Address(f"tcp://{seed.rpartition(':')[0]}:{port}")
             for seed in settings.seeds
         ),
+        nonce=uuid.uuid4().hex,
     )
     stopped = trio.Event()
     async with trio.open_nursery() as nursery:
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -197,8 +197,7 @@
 
 async def _power_off_workers(world: world_lib.World, fault: Fault) -> None:
     for number in fault.targets:
-        world.workers[number].kill()
-        world.workers[number].crash_runner()
+        world.workers[number].power_off()
 
 
 async def _drain_runners(world: world_lib.World, fault: Fault) -> None:
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -54,6 +54,8 @@
 # The policy of the advised queues denies each step one worker in this many.
 DENY_ONE_IN = 3
 RESTART_DELAY_S = 0.6
+# Time for which the machines of the workers are up at the start.
+UPTIME_S = 10_000.0
 # Time after which a runner that a task has crashed is back.
 RUNNER_RESTART_S = 2.0
 ENTRY_DRAIN_S = 2.5
@@ -169,6 +171,8 @@
         self.agent: worker_agent.WorkerAgent | None = None
         self._scope: trio.CancelScope | None = None
         self._removed = False
+        self._booted_s = -UPTIME_S
+        self._incarnation = 0
 
     def _new_runner(
         self, worker: str | None = None
@@ -211,6 +215,7 @@
 
     async def _run_agent(self) -> None:
         world = self._world
+        self._incarnation += 1
         store = kv_store.KvStore(world.store_client(self.node))
         settings = world.settings(self.node)
         agent = worker_agent.WorkerAgent(
@@ -220,8 +225,9 @@
             ),
             runner=runner_lib.Runner(lambda: world.runner_connection(self)),
             store=store,
-            clock=trio_clock.TrioClock(world.origin),
+            clock=trio_clock.TrioClock(world.origin, booted_s=self._booted_s),
             entries=tuple(host.address for host in world.entries),
+            nonce=f"{self.node}-{self._incarnation}",
         )
         self.agent = agent
         value = keys.agent_value(settings.region)
@@ -328,6 +334,12 @@
         if self.runner is drained:
             self.runner = self._new_runner()
 
+    def power_off(self) -> None:
+        """Ends the agent and the runner; both start on a booted machine."""
+        self._booted_s = trio.current_time()
+        self.kill()
+        self.crash_runner()
+
     def crash_runner(self) -> None:
         """Crashes the runner and replaces it by a new incarnation."""
         self.runner.crash()
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -21,6 +21,8 @@
     Attributes:
         agent: address to send orders to.
         token: highest fencing token that the agent has accepted.
+        process: identifies the agent's process. The clock of the next one may
+            have begun anew.
         sent_s: when the report was sent, on the boot-time clock of the agent's
             machine, in seconds.
         answered_s: `sent_s` of the newest report that the scheduler has
@@ -30,6 +32,7 @@
     """
 
     agent: types.Address
+    process: str
     token: int
     sent_s: float
     answered_s: float
@@ -42,6 +45,7 @@
     Attributes:
         scheduler: address to report to.
         token: the scheduler's fencing token.
+        process: `process` of the newest report; empty for none.
         echo_s: `sent_s` of the newest report; 0 for none. The agent acts on
             the orders, and renews the worker's lease, for a limited time
             after `echo_s`.
@@ -53,6 +57,7 @@
 
     scheduler: types.Address
     token: int
+    process: str
     echo_s: float
     worker: runs.Instructions | None = None
     entries: tuple[types.Address, ...] = ()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,19 +3,26 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 import trio
 
 from pimentobridge.bench import harness
 from pimentobridge.core.scheduling import engine
+from pimentobridge.core.scheduling import fleet_shape
 from pimentobridge.daemons import leadership
 from pimentobridge.daemons import recorder
+from pimentobridge.daemons import worker_announcements
 from pimentobridge.lab import faults
 from pimentobridge.lab import simulation
 from pimentobridge.lab import world as world_lib
 from pimentobridge.testing import platform_runner
 
+if TYPE_CHECKING:
+    from pimentobridge.platform import heartbeats
+
 SEEDS = range(1, 9)
 
 
@@ -120,6 +127,15 @@
     assert without_leader_s < leadership.LEASE_S
 
 
+# Guards against LOST (issue 35, review/1): the clock of a machine begins anew
+# when it loses power, and the reports of the agent that ran there next counted
+# as older than those before.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_workers_are_used_again_after_they_have_lost_power(seed: int) -> None:
+    fault = faults.Fault("workers lose power", 6.0, 2.0, tuple(range(6)))
+    assert simulation.run(seed, [fault]).findings == []
+
+
 def _rules(findings: list[str]) -> set[str]:
     return {finding.split(" ")[0] for finding in findings}
 
@@ -181,6 +197,47 @@
     assert violated_rules & {"TWICE", "LOST", "BUDGET", "MIXED"}
 
 
+def test_the_checker_detects_orders_for_another_incarnation(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Connections count as leading to the incarnation that an order is for.
+    async def accept(*_: object) -> None:
+        pass
+
+    monkeypatch.setattr("pimentobridge.platform.runner._verify", accept)
+    fault = faults.Fault("runners restart behind a cut", 6.0, 2.0, (0, 2))
+    violated_rules: set[str] = set()
+    for seed in (1, 2):
+        violated_rules |= _rules(simulation.run(seed, [fault]).findings)
+    assert "TWICE" in violated_rules
+
+
+def test_the_checker_detects_that_any_sender_is_believed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Whatever incarnation a heartbeat names is taken for the runner's.
+    def believe(
+        self: worker_announcements.WorkerAnnouncements,
+        heartbeat: heartbeats.Heartbeat,
+    ) -> None:
+        self._on_confirmed(heartbeat)
+
+    monkeypatch.setattr(
+        worker_announcements.WorkerAnnouncements, "add", believe
+    )
+    fault = faults.Fault("odd heartbeats", 9.0, 2.0, tuple(range(6)))
+    assert "LOST" in _rules(simulation.run(1, [fault]).findings)
+
+
+def test_the_checker_detects_the_comparison_of_sizes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Seed 1 has a small worker, seed 3 none.
+    monkeypatch.setattr(fleet_shape, "_sort_key", msgspec.structs.astuple)
+    assert "FAULT" in _rules(simulation.run(1, []).findings)
+    assert simulation.run(3, []).findings == []
+
+
 def test_the_checker_detects_an_incomplete_gang(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
