Share the callers of single jobs among tests, and log unconfirmed workers

Cause: three tests built the same job and caller; a worker whose runner doesn't answer its agent left no line in the log.

Change: lab.callers.one_task_job and follow; "announcement not confirmed" is logged once for each reason.

--- a/pimentobridge/daemons/worker_announcements.py
+++ b/pimentobridge/daemons/worker_announcements.py
@@ -50,6 +50,10 @@
         self._pending_by_key: collections.OrderedDict[
             runs.IncarnationKey, heartbeats.Heartbeat
         ] = collections.OrderedDict()
+        # Why the runner hasn't confirmed or refused an incarnation so far.
+        self._failures_by_key: dict[
+            runs.IncarnationKey, runner_status.PollFailure
+        ] = {}
 
     def add(self, heartbeat: heartbeats.Heartbeat) -> None:
         """Adds a heartbeat of an incarnation that isn't confirmed yet."""
@@ -78,15 +82,30 @@
         response = await self._runner.poll(
             key, token=self._token(), acknowledged_end=0, lease_until_s=None
         )
-        if response is runner_status.PollFailure.WRONG_INCARNATION:
-            self._pending_by_key.pop(key, None)
+        if isinstance(response, runner_status.PollFailure):
+            self._on_failure(key, response)
+            return
+        self._failures_by_key.pop(key, None)
+        heartbeat = self._pending_by_key.pop(key, None)
+        if heartbeat is not None:
+            self._on_confirmed(heartbeat)
+
+    def _on_failure(
+        self, key: runs.IncarnationKey, failure: runner_status.PollFailure
+    ) -> None:
+        """Logs a failure, and drops an incarnation that isn't the runner's."""
+        if self._failures_by_key.get(key) is not failure:
             logs.event(
                 "announcement not confirmed",
                 worker=key.worker,
                 born_ms=key.started_ms,
-                why=response.value,
+                why=failure.value,
             )
-        elif isinstance(response, runner_status.RunnerStatus):
-            heartbeat = self._pending_by_key.pop(key, None)
-            if heartbeat is not None:
-                self._on_confirmed(heartbeat)
+        self._failures_by_key[key] = failure
+        if failure is runner_status.PollFailure.WRONG_INCARNATION:
+            self._pending_by_key.pop(key, None)
+        self._failures_by_key = {
+            key: failure
+            for key, failure in self._failures_by_key.items()
+            if key in self._pending_by_key
+        }
--- a/pimentobridge/lab/callers.py
+++ b/pimentobridge/lab/callers.py
@@ -80,6 +80,27 @@
     return job, priority
 
 
+def one_task_job(seconds: float) -> checkers.SubmittedJob:
+    """Returns a job of one small task.
+
+    Args:
+        seconds: work of the task, which is also its estimate.
+    """
+    step = {
+        "count": 1,
+        "cpu": 1000,
+        "memMb": 1000,
+        "gpu": 1,
+        "estimateMs": seconds * 1000,
+    }
+    return checkers.SubmittedJob(
+        id="a" * 16,
+        spec=json.dumps({"seconds": seconds, "request": [1000, 1000, 1]}),
+        steps=[dict(step)],
+        max_attempts=operator_documents.MAX_ATTEMPTS,
+    )
+
+
 class Caller:
     """A caller that submits one job and follows it.
 
@@ -178,3 +199,23 @@
         return answer
 
     return call
+
+
+def follow(
+    world: world_lib.World, job: checkers.SubmittedJob, *, for_s: float
+) -> Caller:
+    """Returns a caller that submits a job to the most urgent queue.
+
+    Args:
+        world: the deployment.
+        job: the job.
+        for_s: how long it polls from now on, in seconds.
+    """
+    return Caller(
+        make_call(world, operator_documents.ACCOUNTS[0]),
+        world.checker,
+        job,
+        path=f"/queue-0/{job.id}",
+        cancels_after_s=None,
+        until_s=trio.current_time() + for_s,
+    )
--- a/tests/test_agent_shutdown.py
+++ b/tests/test_agent_shutdown.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 
 import trio
@@ -10,30 +9,12 @@
 from pimentobridge.bench import harness
 from pimentobridge.lab import callers
 from pimentobridge.lab import checkers
-from pimentobridge.lab import operator_documents
 from pimentobridge.lab import world as world_lib
 
 TASK_S = 5.0
 FOLLOW_S = 40.0
 
 
-def _job() -> checkers.SubmittedJob:
-    spec = {"seconds": TASK_S, "request": [1000, 1000, 1]}
-    step = {
-        "count": 1,
-        "cpu": 1000,
-        "memMb": 1000,
-        "gpu": 1,
-        "estimateMs": TASK_S * 1000,
-    }
-    return checkers.SubmittedJob(
-        id="a" * 16,
-        spec=json.dumps(spec),
-        steps=[step],
-        max_attempts=operator_documents.MAX_ATTEMPTS,
-    )
-
-
 def _host_of_run(world: world_lib.World) -> world_lib.WorkerHost:
     return next(host for host in world.workers if host.runner.runs_by_task)
 
@@ -57,15 +38,8 @@
         world.put_configuration()
         world.start()
         await trio.sleep(4.0)
-        job = _job()
-        caller = callers.Caller(
-            callers.make_call(world, operator_documents.ACCOUNTS[0]),
-            world.checker,
-            job,
-            path=f"/queue-0/{job.id}",
-            cancels_after_s=None,
-            until_s=trio.current_time() + FOLLOW_S,
-        )
+        job = callers.one_task_job(TASK_S)
+        caller = callers.follow(world, job, for_s=FOLLOW_S)
         async with trio.open_nursery() as traffic:
             traffic.start_soon(caller.run)
             await trio.sleep(worked_s)
--- a/tests/test_worker_announcements.py
+++ b/tests/test_worker_announcements.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 
 import pytest
@@ -12,12 +11,11 @@
 from pimentobridge.core import types
 from pimentobridge.core.jobs import runs
 from pimentobridge.lab import callers
-from pimentobridge.lab import checkers
-from pimentobridge.lab import operator_documents
 from pimentobridge.lab import world as world_lib
 from pimentobridge.testing import odd_heartbeats
 
 TASK_S = 1.0
+CUT_TASK_S = 6.0
 # The users' bound for a job that has begun no run while workers are idle, with
 # the time of its work.
 FINISH_S = 14.0 + TASK_S
@@ -29,17 +27,6 @@
 ]
 
 
-def _job(task_s: float = TASK_S) -> checkers.SubmittedJob:
-    spec = {"seconds": task_s, "request": [1000, 1000, 1]}
-    step = {"count": 1, "cpu": 1000, "memMb": 1000, "gpu": 1}
-    return checkers.SubmittedJob(
-        id="a" * 16,
-        spec=json.dumps(spec),
-        steps=[dict(step)],
-        max_attempts=operator_documents.MAX_ATTEMPTS,
-    )
-
-
 def _statuses_by_id() -> dict[str, int]:
     """Returns the status of a heartbeat under each odd id."""
 
@@ -73,19 +60,6 @@
     assert set(statuses_by_id.values()) <= {400, 404}
 
 
-def _caller(
-    world: world_lib.World, job: checkers.SubmittedJob
-) -> callers.Caller:
-    return callers.Caller(
-        callers.make_call(world, operator_documents.ACCOUNTS[0]),
-        world.checker,
-        job,
-        path=f"/queue-0/{job.id}",
-        cancels_after_s=None,
-        until_s=trio.current_time() + FINISH_S,
-    )
-
-
 async def _run_job_after(kind: str) -> str:
     """Returns a job's state some time after an odd heartbeat of a kind."""
     async with trio.open_nursery() as nursery:
@@ -98,8 +72,8 @@
         for host in world.workers:
             await host.deliver_odd_heartbeats(kind)
         await trio.sleep(2.0)
-        job = _job()
-        await _caller(world, job).run()
+        job = callers.one_task_job(TASK_S)
+        await callers.follow(world, job, for_s=FINISH_S).run()
         nursery.cancel_scope.cancel()
     assert world.checker.findings == []
     return job.observed_states[-1][1]
@@ -122,7 +96,9 @@
         world.start()
         await trio.sleep(4.0)
         async with trio.open_nursery() as traffic:
-            traffic.start_soon(_caller(world, _job(task_s=6.0)).run)
+            job = callers.one_task_job(CUT_TASK_S)
+            caller = callers.follow(world, job, for_s=FINISH_S)
+            traffic.start_soon(caller.run)
             await trio.sleep(2.0)
             host = next(
                 host for host in world.workers if host.runner.runs_by_task
