Contain errors in an agent's polls, and record ends while passes fail

Seen in tests: an unexpected error in a call to the runner ended the agent's process; and while passes failed as a whole, no end of a run was recorded.

Cause: the agent's polls weren't contained; a step woke the recorder in the same activity in which it placed units.

Change: polls and confirmations are contained one by one; the recorder is woken on its own.

The tests before: 3 failed (FAULT: worker-0 ended by itself, twice; a job that was done wasn't shown as completed). After: 12 passed.

--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -334,6 +334,7 @@
             ("recording checkpoints", self.engine.record_checkpoints),
             ("finding stalled runs", self._stalls.run),
             ("placing units", self._place_units),
+            ("recording changes", self._wake_recorder),
             ("sending changed orders", self._send_changed_orders),
             ("sending orders again", self._resend_to_silent_agents),
         ):
@@ -347,10 +348,12 @@
         )
 
     def _place_units(self) -> None:
-        """Runs a scheduling pass if one is due, and has changes recorded."""
+        """Runs a scheduling pass if one is due."""
         self.engine.request_due_pass()
         if self.engine.needs_pass:
             self._planner.run()
+
+    def _wake_recorder(self) -> None:
         if self.engine.dirty_by_id:
             self.recorder.wake()
 
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -454,20 +454,25 @@
 
     async def _poll_forever(self) -> None:
         while True:
-            if self._worker is None:
-                await self._wait_for_poll(POLL_WAIT_S)
-                continue
-            unacknowledged = self._view.has_unacknowledged_ends
-            wait_s = (
-                0.0
-                if unacknowledged or not self._view.has_polled
-                else POLL_WAIT_S
-            )
-            if not await self._poll(wait_s):
+            with containment.contained("polling the worker") as error:
+                await self._poll_and_wait()
+            if error.occurred:
                 await trio.sleep(worker_contact.POLL_RETRY_PAUSE_S)
-                self._detect_end()
-            elif unacknowledged:
-                await self._wait_for_poll(worker_contact.POLL_RETRY_PAUSE_S)
+
+    async def _poll_and_wait(self) -> None:
+        """Polls the worker, if it is known, and waits until the next poll."""
+        if self._worker is None:
+            await self._wait_for_poll(POLL_WAIT_S)
+            return
+        unacknowledged = self._view.has_unacknowledged_ends
+        wait_s = (
+            0.0 if unacknowledged or not self._view.has_polled else POLL_WAIT_S
+        )
+        if not await self._poll(wait_s):
+            await trio.sleep(worker_contact.POLL_RETRY_PAUSE_S)
+            self._detect_end()
+        elif unacknowledged:
+            await self._wait_for_poll(worker_contact.POLL_RETRY_PAUSE_S)
 
     async def _wait_for_poll(self, timeout_s: float) -> None:
         with trio.move_on_after(timeout_s):
--- a/pimentobridge/daemons/worker_announcements.py
+++ b/pimentobridge/daemons/worker_announcements.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from pimentobridge.daemons import containment
 from pimentobridge.daemons import logs
 from pimentobridge.platform import runner_status
 
@@ -64,14 +65,19 @@
         self._pending_by_key[key] = heartbeat
         self._pending_by_key.move_to_end(key)
         if len(self._pending_by_key) > MAX_PENDING:
-            self._pending_by_key.popitem(last=False)
+            self._drop(next(iter(self._pending_by_key)))
         self._added.set()
 
     async def run(self) -> None:
         """Asks the runner about each incarnation until it has answered."""
         while True:
             for key in reversed(list(self._pending_by_key)):
-                await self._ask_about(key)
+                with containment.contained(
+                    "confirming a worker", worker=key.worker
+                ) as error:
+                    await self._ask_about(key)
+                if error.occurred:
+                    self._drop(key)
             if self._pending_by_key:
                 await trio.sleep(RETRY_PAUSE_S)
             else:
@@ -85,8 +91,8 @@
         if isinstance(response, runner_status.PollFailure):
             self._on_failure(key, response)
             return
-        self._failures_by_key.pop(key, None)
-        heartbeat = self._pending_by_key.pop(key, None)
+        heartbeat = self._pending_by_key.get(key)
+        self._drop(key)
         if heartbeat is not None:
             self._on_confirmed(heartbeat)
 
@@ -103,9 +109,8 @@
             )
         self._failures_by_key[key] = failure
         if failure is runner_status.PollFailure.WRONG_INCARNATION:
-            self._pending_by_key.pop(key, None)
-        self._failures_by_key = {
-            key: failure
-            for key, failure in self._failures_by_key.items()
-            if key in self._pending_by_key
-        }
+            self._drop(key)
+
+    def _drop(self, key: runs.IncarnationKey) -> None:
+        self._pending_by_key.pop(key, None)
+        self._failures_by_key.pop(key, None)
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -19,6 +19,7 @@
 from pimentobridge.daemons import scheduling
 from pimentobridge.lab import callers
 from pimentobridge.lab import world as world_lib
+from pimentobridge.platform import runner
 
 if TYPE_CHECKING:
     from pimentobridge.platform import kv_store
@@ -72,6 +73,12 @@
         _, answer = await call("GET", f"/queue-1/{JOB}", b"")
         after = [host.entry for host in world.entries]
         nursery.cancel_scope.cancel()
+    # The checker doesn't know the jobs, but the processes.
+    assert not [
+        finding
+        for finding in world.checker.findings
+        if finding.startswith("FAULT")
+    ]
     same = [first is last for first, last in zip(before, after, strict=True)]
     return answer, same, world.checker.started
 
@@ -206,3 +213,47 @@
     answer, same_processes, _ = harness.run_virtual(_state_of_a_job, seed=1)
     assert same_processes == [True, True]
     assert answer == b'{"state":"completed"}'
+
+
+# Guards against processes that end by themselves (issue 35, related to
+# REPORT.md's id): an error in a call to the runner ended the agent.
+@pytest.mark.parametrize("time_s", [0.0, WARM_UP_S], ids=["first", "later"])
+def test_an_error_in_a_poll_does_not_end_an_agent(
+    time_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    poll = runner.Runner.poll
+    raised = 0
+
+    async def poll_once_in_vain(*args: Any, **fields: Any) -> Any:
+        nonlocal raised
+        if not raised and trio.current_time() > time_s:
+            raised += 1
+            _fails()
+        return await poll(*args, **fields)
+
+    monkeypatch.setattr(runner.Runner, "poll", poll_once_in_vain)
+    answer, _, started = harness.run_virtual(_state_of_a_job, seed=1)
+    assert raised == 1
+    assert answer == b'{"state":"completed"}'
+    assert started == 2
+
+
+# Guards against LOST (issue 35, related to review/2): a pass that fails as a
+# whole kept the ends of runs from being recorded.
+def test_ends_are_recorded_while_passes_fail(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    run = planner.Planner.run
+
+    def run_first_passes(self: planner.Planner) -> None:
+        if trio.current_time() > WARM_UP_S + 0.5:
+            _fails()
+        run(self)
+
+    monkeypatch.setattr(planner.Planner, "run", run_first_passes)
+    answer, same_processes, started = harness.run_virtual(
+        _state_of_a_job, seed=1
+    )
+    assert same_processes == [True, True]
+    assert answer == b'{"state":"completed"}'
+    assert started == 2
