Split the simulated machines from the world around them

Change: lab/machines.py holds the machines with their processes, lab/world.py the platform and the network. tests/test_crashes.py and others name the new module. Nothing of the daemons is touched.

--- a/pimentobridge/lab/large_configuration.py
+++ b/pimentobridge/lab/large_configuration.py
@@ -9,6 +9,7 @@
 import trio
 
 from pimentobridge.bench import harness
+from pimentobridge.lab import machines
 from pimentobridge.lab import world as world_lib
 
 ENTRIES = 6
@@ -147,12 +148,12 @@
         host.remove()
 
 
-def _supplies_configuration(host: world_lib.WorkerHost) -> bool:
+def _supplies_configuration(host: machines.WorkerHost) -> bool:
     return host.agent is not None and host.agent.supplies_configuration
 
 
 async def _time_until(
-    host: world_lib.EntryHost, version: int, times_s: list[float]
+    host: machines.EntryHost, version: int, times_s: list[float]
 ) -> None:
     """Adds the time until an entry follows a version."""
     written_s = trio.current_time()
@@ -164,7 +165,7 @@
     times_s.append(float("inf"))
 
 
-def _version_of(host: world_lib.EntryHost) -> int:
+def _version_of(host: machines.EntryHost) -> int:
     if host.entry is None or host.entry.configuration is None:
         return 0
     return host.entry.configuration.version
--- a/tests/test_agent_shutdown.py
+++ b/tests/test_agent_shutdown.py
@@ -9,13 +9,14 @@
 from pimentobridge.bench import harness
 from pimentobridge.lab import callers
 from pimentobridge.lab import checkers
+from pimentobridge.lab import machines
 from pimentobridge.lab import world as world_lib
 
 TASK_S = 5.0
 FOLLOW_S = 40.0
 
 
-def _host_of_run(world: world_lib.World) -> world_lib.WorkerHost:
+def _host_of_run(world: world_lib.World) -> machines.WorkerHost:
     return next(host for host in world.workers if host.runner.runs_by_task)
 
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -5,8 +5,8 @@
 import pytest
 
 from pimentobridge.lab import faults
+from pimentobridge.lab import machines
 from pimentobridge.lab import simulation
-from pimentobridge.lab import world
 
 DEADLY = faults.Fault("tasks crash their runners", 1.0, 25.0)
 
@@ -46,7 +46,7 @@
 def test_runs_are_given_up_when_a_crashed_worker_stays_away(
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(world, "RUNNER_RESTART_S", 14.0)
+    monkeypatch.setattr(machines, "RUNNER_RESTART_S", 14.0)
     assert simulation.run(seed, [DEADLY]).findings == []
 
 
