Log whether a run that counts as over was still listed

Change: 'run over' has 'listed' and the age of the report; 'untracked run listed' has the latest run of the unit and its status. No logic changes. Finding the job of a listed run stood twice and is one function now.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -348,12 +348,15 @@
         if untracked.keys() != worker.untracked_by_key.keys():
             self.needs_pass = True
             for run in untracked.keys() - worker.untracked_by_key.keys():
+                latest = ledger.unit_of(run, self.jobs_by_id)
                 self._log(
                     "untracked run listed",
                     task=run.task,
                     run=run.run,
                     worker=worker.key.worker,
                     born_ms=worker.key.started_ms,
+                    latest_run=latest and latest.run,
+                    latest_status=latest and latest.status.value,
                 )
         worker.set_untracked(untracked)
         worker.running_keys = frozenset(
@@ -476,6 +479,10 @@
             worker=worker.key.worker,
             born_ms=worker.key.started_ms,
             reason=reason,
+            listed=key in worker.running_keys,
+            report_age_s=round(
+                self._clock.monotonic() - worker.last_report_s, 3
+            ),
         )
         if unit.run != entry.run or (
             unit.status is progress_lib.UnitStatus.DONE
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -171,11 +171,31 @@
     key: runs.RunKey, jobs_by_id: Mapping[types.JobId, TrackedJob]
 ) -> model.Resources:
     """Returns what a listed run reserves; nothing if its job isn't tracked."""
+    found = job_of(key, jobs_by_id)
+    if found is None or found[1].step >= len(found[0].job.steps):
+        return model.NO_RESOURCES
+    tracked, name = found
+    return tracked.step_of(name.step).footprint
+
+
+def unit_of(
+    key: runs.RunKey, jobs_by_id: Mapping[types.JobId, TrackedJob]
+) -> progress_lib.Unit | None:
+    """Returns the unit that a listed run belongs to, or None if not open."""
+    found = job_of(key, jobs_by_id)
+    if found is None:
+        return None
+    tracked, name = found
+    return tracked.progress.unit_of(name)
+
+
+def job_of(
+    key: runs.RunKey, jobs_by_id: Mapping[types.JobId, TrackedJob]
+) -> tuple[TrackedJob, model.TaskName] | None:
+    """Returns the job and the name of a listed run's task, if it is tracked."""
     try:
         name = model.TaskName.parse(key.task)
     except ValueError:
-        return model.NO_RESOURCES
+        return None
     tracked = jobs_by_id.get(name.job)
-    if tracked is None or name.step >= len(tracked.job.steps):
-        return model.NO_RESOURCES
-    return tracked.step_of(name.step).footprint
+    return (tracked, name) if tracked is not None else None
--- a/pimentobridge/core/scheduling/orders.py
+++ b/pimentobridge/core/scheduling/orders.py
@@ -4,16 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from pimentobridge.core import types
     from pimentobridge.core.scheduling import fleet
-    from pimentobridge.core.scheduling import ledger
 
 
 def instructions_for(
@@ -60,13 +59,10 @@
 
     Such a run needs no stop order: it ends by itself with the rest of its gang.
     """
-    try:
-        name = model.TaskName.parse(key.task)
-    except ValueError:
-        return False
-    tracked = jobs_by_id.get(name.job)
-    if tracked is None:
+    found = ledger.job_of(key, jobs_by_id)
+    if found is None:
         return False
+    tracked, name = found
     if tracked.progress.state is progress_lib.JobState.COMPLETED:
         return True
     unit = tracked.progress.unit_of(name)
