Release a refused run only when its worker doesn't list it

Cause: a start without an answer is sent again. If the worker refuses the second one (unhealthy, no room, no ticket, already stopped), the agent has the run stopped, as the first may have been carried out, and reports the refusal together with a list that still shows the run: a stop takes up to 900 ms. The engine released refused runs without a look at that list and placed them again at once. Runs whose stop was confirmed were checked against it.

Why it works: both answers now release by one rule. They say that the run will not be started any more, and only the list or the listed end says that it doesn't go on. The list in a report is read after the stop was accepted. A run that is listed is released at its listed end.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
@@ -269,23 +270,37 @@
         self._update_running(worker, observation)
         for refused in observation.refused:
             self._on_refusal(worker, refused)
-        ended = {end.key for end in observation.ended}
-        for stopped in observation.stop_confirmed:
-            if stopped not in ended and stopped not in worker.running_keys:
-                self._release_run(worker, stopped, "stop confirmed")
+        self._release_unlisted(worker, observation.refused, "start refused")
+        self._release_unlisted(
+            worker, observation.stop_confirmed, "stop confirmed"
+        )
         worker.acknowledge_ends()
 
     def _on_refusal(
         self, worker: fleet.TrackedWorker, refused: runs.RunKey
     ) -> None:
         entry = worker.entries_by_key.get(refused)
-        if entry is not None:
-            worker.health.on_refused(self._clock.monotonic())
-            step = advice_lib.StepName(
-                entry.name.job, entry.name.occurrence, entry.name.step
-            )
-            self.advice.drop_ticket(step, worker.key)
-        self._release_run(worker, refused, "start refused")
+        if entry is None:
+            return
+        worker.health.on_refused(self._clock.monotonic())
+        step = advice_lib.StepName(
+            entry.name.job, entry.name.occurrence, entry.name.step
+        )
+        self.advice.drop_ticket(step, worker.key)
+
+    def _release_unlisted(
+        self,
+        worker: fleet.TrackedWorker,
+        keys: Iterable[runs.RunKey],
+        reason: str,
+    ) -> None:
+        """Releases runs that the worker will never start again.
+
+        One that it lists may be stopping and is over only at its listed end.
+        """
+        for key in keys:
+            if key not in worker.running_keys:
+                self._release_run(worker, key, reason)
 
     def _remove_replaced_incarnations(
         self, agent: types.Address, observation: runs.Observation
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -228,6 +228,27 @@
     assert restarted.run == key.run + 1
 
 
+# Guards against TWICE (issue 38): a run that is being stopped is listed as
+# running until it has ended, and was placed again before.
+def test_a_refused_run_that_is_listed_as_running_is_not_released() -> None:
+    harness = engine_harness.EngineHarness(2)
+    ((number, key),) = engine_harness.started(
+        harness.submit(engine_harness.job())
+    )
+    listed = engine_harness.just_started(key)
+    harness.observe(number, running=listed, refused=(key,))
+    harness.plan()
+    harness.record()
+    assert engine_harness.started([harness.observe(1 - number)]) == []
+    harness.observe(
+        number, ended=engine_harness.ended(key, runs.EndCause.STOPPED)
+    )
+    harness.plan()
+    harness.record()
+    ((_, restarted),) = engine_harness.started(harness.observe_all())
+    assert restarted.run == key.run + 1
+
+
 def test_an_end_takes_precedence_over_a_refusal_of_the_same_run() -> None:
     harness = engine_harness.EngineHarness(1)
     ((_, key),) = engine_harness.started(harness.submit(engine_harness.job()))
