--- a/pimentobridge/daemons/leadership.py
+++ b/pimentobridge/daemons/leadership.py
@@ -217,7 +217,7 @@
             expected={self._key: revision},
             puts=[kv_store.Put(self._key, self._value, lease)],
         )
-        token = await self._token_of(written)
+        token = await self._token_of(written, lease)
         if token is None or self._withdrawn:
             await self._store.revoke_lease(lease)
             return
@@ -232,8 +232,13 @@
     async def _token_of(
         self,
         written: result.Result[int | kv_store.Conflict, kv_store.StoreError],
+        lease: int,
     ) -> int | None:
-        """Returns the fencing token if the key's write took effect, or None."""
+        """Returns the fencing token if the key's write took effect, or None.
+
+        The key may also be found as an earlier attempt has written it. It is
+        then attached to another lease, and ends with that one.
+        """
         if isinstance(written, result.Ok):
             outcome = written.ok_value
             return outcome if isinstance(outcome, int) else None
@@ -241,7 +246,11 @@
         response = await self._store.get(self._key)
         if isinstance(response, result.Ok):
             item = response.ok_value
-            if item is not None and item.value == self._value:
+            if (
+                item is not None
+                and item.value == self._value
+                and item.lease == lease
+            ):
                 return item.revision
         return None
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -14,6 +14,7 @@
 from pimentobridge.daemons import leadership as leadership_lib
 from pimentobridge.daemons import store_mirror
 from pimentobridge.daemons import trio_clock
+from pimentobridge.platform import http_client
 from pimentobridge.platform import kv_store
 from pimentobridge.testing import platform_store
 from pimentobridge.testing import slow_client
@@ -127,3 +128,68 @@
     assert before is not None
     assert later is not None
     assert later > before
+
+
+class LateFirstWriteClient(slow_client.SlowClient):
+    """Client whose first write is carried out just before its second one.
+
+    Neither write is answered, and the first lease can't be ended in between.
+    """
+
+    def __init__(self, store: platform_store.PlatformStore) -> None:
+        super().__init__(store)
+        self._first_write: object | None = None
+        self._writes = 0
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: object | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> http_client.Answer | http_client.Failure:
+        """Makes a call, or leaves it without an answer."""
+        is_write = path == "/v1/kv-txn"
+        self._writes += is_write
+        ends_lease = method == "DELETE" and self._writes == 1
+        if ends_lease or (is_write and self._writes == 1):
+            self._first_write = self._first_write or body
+            await trio.sleep(timeout_s)
+            return http_client.Failure.TIMED_OUT
+        if is_write and self._writes == 2:
+            await self._store.handle(method, path, self._first_write)
+            await self._store.handle(method, path, body)
+            await trio.sleep(self.answer_s)
+            return http_client.Failure.NO_ANSWER
+        return await super().call(
+            method, path, timeout_s=timeout_s, body=body, headers=headers
+        )
+
+
+async def _times_as_leader_without_key() -> list[float]:
+    """Returns when an entry counts itself as the leader but has no key."""
+    store = platform_store.PlatformStore(trio.current_time)
+    mirror, leadership = _new_leadership(
+        kv_store.KvStore(LateFirstWriteClient(store))
+    )
+    times_s, was_leader = [], False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(mirror.run)
+        nursery.start_soon(leadership.run)
+        for _ in range(round(OBSERVED_S / SAMPLING_INTERVAL_S)):
+            await trio.sleep(SAMPLING_INTERVAL_S)
+            store.expire_leases()
+            was_leader |= leadership.is_leader
+            if leadership.is_leader and keys.LEADER not in store.keys:
+                times_s.append(trio.current_time())
+        nursery.cancel_scope.cancel()
+    assert was_leader
+    return times_s
+
+
+# Guards against two schedulers (issue 38): the key was found as an earlier
+# attempt had written it, under a lease that nobody renews.
+def test_a_key_under_the_lease_of_an_earlier_attempt_begins_no_term() -> None:
+    assert _run(_times_as_leader_without_key) == []
