--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -196,12 +196,14 @@
 
         After an unexpected error, which is raised, nothing that the worker says
         of its runs is processed or acknowledged any more: what is known of them
-        may be incomplete, and another scheduler can still read it all.
+        may be incomplete, and another scheduler can still read it all. Orders
+        answer the report all the same, so that the agent renews the lease.
         """
         try:
             self._process_report(agent, observation)
         except Exception:
             self.incomplete = True
+            self.on_answered(agent)
             key = observation.incarnation.key
             if key in self.workers_by_incarnation:
                 self.workers_by_incarnation[key].distrusted = True
@@ -510,10 +512,10 @@
                     self.incarnation_by_agent.pop(worker.agent, None)
 
     def on_answered(self, agent: types.Address) -> None:
-        """Notes that orders answer a report that names no worker.
+        """Notes that orders answer a report from which nothing is learnt.
 
-        The agent has just started and may renew the lease of its worker before
-        it reports on it.
+        The agent may renew the lease of its worker all the same. A report names
+        no worker if the agent has just started, and its processing may fail.
         """
         for worker in self.workers_by_incarnation.values():
             if worker.agent == agent:
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -26,8 +26,8 @@
         last_report_s: monotonic time of the last report; before the first, the
             time at which this scheduler learned of the worker.
         last_answer_s: monotonic time at which orders last answered a report
-            of its agent that didn't name the worker; the agent may renew the
-            lease by them.
+            of its agent that didn't name the worker or couldn't be processed;
+            the agent may renew the lease by them.
         evacuated: the runs that wouldn't end before it shuts down have been
             moved.
         agent: address of its agent; None if unknown.
--- a/pimentobridge/core/scheduling/lease_expiry.py
+++ b/pimentobridge/core/scheduling/lease_expiry.py
@@ -32,7 +32,7 @@
         )
 
     def on_answered(self, worker: fleet.TrackedWorker, now_s: float) -> None:
-        """Notes that orders answer a new agent that hasn't named the worker.
+        """Notes that orders answer an agent of which nothing else is learnt.
 
         It may renew the lease by them, unless that has expired by now.
         """
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -22,6 +22,7 @@
 from pimentobridge.platform import runner
 
 if TYPE_CHECKING:
+    from pimentobridge.core import types
     from pimentobridge.platform import kv_store
 
 JOB = "a" * 16
@@ -34,6 +35,7 @@
     b' "estimateMs": 1000}]}'
 )
 WARM_UP_S = 3.0
+LONG_TASK_S = 30.0
 ENOUGH_S = 8.0
 # The lease expires in the term after the one in which the worker is lost.
 TWO_TERMS_S = 2 * scheduling.MIN_TERM_S
@@ -266,3 +268,58 @@
     assert same_processes == [True, True]
     assert answer == b'{"state":"completed"}'
     assert started == 1
+
+
+async def _findings_while_reports_on_a_worker_fail(
+    monkeypatch: pytest.MonkeyPatch,
+) -> list[str]:
+    """Returns what is violated by a long run on a worker whose reports fail."""
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(
+            rng=random.Random(1), nursery=nursery, entries=2, workers=2
+        )
+        world.put_configuration()
+        world.start()
+        await trio.sleep(WARM_UP_S)
+        job = callers.one_task_job(LONG_TASK_S)
+        async with trio.open_nursery() as traffic:
+            caller = callers.follow(world, job, for_s=TWO_TERMS_S)
+            traffic.start_soon(caller.run)
+            await trio.sleep(2.0)
+            host = next(
+                host for host in world.workers if host.runner.runs_by_task
+            )
+            _fail_reports_of(host.address, monkeypatch)
+        nursery.cancel_scope.cancel()
+    return [
+        finding
+        for finding in world.checker.findings
+        if finding.startswith("TWICE")
+    ]
+
+
+def _fail_reports_of(
+    agent: types.Address, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Makes the processing of an agent's reports fail at its beginning."""
+    process = engine.Engine._process_report
+
+    def process_unless_bad(
+        self: engine.Engine, sender: types.Address, observation: Any
+    ) -> None:
+        if sender == agent:
+            _fails()
+        process(self, sender, observation)
+
+    monkeypatch.setattr(engine.Engine, "_process_report", process_unless_bad)
+
+
+# Guards against TWICE (issue 38): orders answer reports that can't be
+# processed, too. The lease that they renew counted from the reports before.
+def test_a_worker_whose_reports_fail_keeps_its_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    findings = harness.run_virtual(
+        lambda: _findings_while_reports_on_a_worker_fail(monkeypatch), seed=1
+    )
+    assert findings == []
