--- a/pimentobridge/daemons/agent_link.py
+++ b/pimentobridge/daemons/agent_link.py
@@ -11,19 +11,24 @@
     from pimentobridge.core.jobs import runs
     from pimentobridge.protocol import control
 
-# Limit on the ended processes that are remembered for each agent, to tell their
-# late reports from those of its present process.
+# Limits on the ended processes that are remembered for each agent, to tell
+# their late reports from those of its present process, and on unproven ones.
 MAX_ENDED_PROCESSES = 16
+MAX_UNPROVEN_PROCESSES = 16
 
 
 class AgentLink:
     """State of the exchange with one agent.
 
+    The first process that reports is taken for the present one. A later one is
+    unproven until one of its reports shows that orders that were addressed to
+    it have reached it: its first reports may be late, and it may have ended
+    before the present process started.
+
     Times are monotonic times of this process unless stated otherwise.
 
     Attributes:
-        process: the agent's process that sent the newest report; empty before
-            the first one.
+        process: the agent's present process; empty before the first report.
         echo_s: `sent_s` of the newest report, on the agent's clock; orders
             return it.
         report_received_s: when the newest report arrived.
@@ -44,17 +49,38 @@
         self._ended_processes: collections.deque[str] = collections.deque(
             maxlen=MAX_ENDED_PROCESSES
         )
+        # In the order of their first reports.
+        self._unproven_processes: collections.deque[str] = collections.deque(
+            maxlen=MAX_UNPROVEN_PROCESSES
+        )
 
     def is_newer(self, report: control.WorkerReport) -> bool:
         """Returns whether a report is newer than all before it.
 
         Reports of one process are ordered by its clock. One of another process
-        is newer, unless that process was replaced before.
+        may be newer, unless that process was replaced before.
         """
         if report.process == self.process:
             return report.sent_s > self.echo_s
         return report.process not in self._ended_processes
 
+    def is_unproven(self, report: control.WorkerReport, token: int) -> bool:
+        """Returns whether a report may be of a process that has ended.
+
+        Args:
+            report: a report that `is_newer` allows.
+            token: this scheduler's fencing token.
+        """
+        if self.process in ("", report.process):
+            return False
+        return report.token != token or not report.answered_s
+
+    def on_unproven(self, report: control.WorkerReport, now_s: float) -> None:
+        """Notes a report of an unproven process."""
+        if report.process not in self._unproven_processes:
+            self._unproven_processes.append(report.process)
+        self.report_received_s = now_s
+
     def on_report(self, report: control.WorkerReport, now_s: float) -> None:
         """Notes a report that is newer than all before it."""
         if report.process != self.process:
@@ -66,7 +92,14 @@
                 sent_s=round(report.sent_s, 3),
                 echo_s=round(self.echo_s, 3),
             )
-            self._ended_processes.append(self.process)
+            self._end_processes_before(report.process)
         self.process = report.process
         self.echo_s = report.sent_s
         self.report_received_s = now_s
+
+    def _end_processes_before(self, process: str) -> None:
+        """Notes that a process has replaced all that reported before it."""
+        self._ended_processes.append(self.process)
+        if process in self._unproven_processes:
+            while (earlier := self._unproven_processes.popleft()) != process:
+                self._ended_processes.append(earlier)
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -252,7 +252,8 @@
         """Processes an agent's report and answers with orders.
 
         Reports older than the newest one are ignored. An agent that obeys a
-        higher fencing token has a newer scheduler and gets no answer.
+        higher fencing token has a newer scheduler and gets no answer. Nothing
+        that an unproven process says of its worker is believed.
         """
         self.add_agent(report.agent)
         link = self._links_by_agent[report.agent]
@@ -265,6 +266,9 @@
                 token=report.token,
             )
             return
+        if link.is_unproven(report, self.token):
+            self._answer_unproven(report, link)
+            return
         link.on_report(report, self._clock.monotonic())
         self._reconnect_if_unanswered(report, link)
         if report.worker is not None and report.token == self.token:
@@ -275,6 +279,22 @@
         if self.engine.needs_pass or self.engine.dirty_by_id:
             self._wake.set()
 
+    def _answer_unproven(
+        self, report: control.WorkerReport, link: agent_link.AgentLink
+    ) -> None:
+        """Sends orders that only the process that sent the report accepts."""
+        if not self._leadership.is_leader:
+            return
+        link.on_unproven(report, self._clock.monotonic())
+        self._reconnect_if_unanswered(report, link)
+        self.engine.on_answered(report.agent)
+        self._send(
+            report.agent,
+            process=report.process,
+            echo_s=report.sent_s,
+            instructions=None,
+        )
+
     def _reconnect_if_unanswered(
         self, report: control.WorkerReport, link: agent_link.AgentLink
     ) -> None:
@@ -400,14 +420,29 @@
         if not self._leadership.is_leader:
             return
         link.sent_instructions = self._instructions_for(agent)
+        self._send(
+            agent,
+            process=link.process,
+            echo_s=link.echo_s,
+            instructions=link.sent_instructions,
+        )
+
+    def _send(
+        self,
+        agent: types.Address,
+        *,
+        process: str,
+        echo_s: float,
+        instructions: runs.Instructions | None,
+    ) -> None:
         self._endpoint.send(
             agent,
             control.WorkerOrders(
                 scheduler=self._address,
                 token=self.token,
-                process=link.process,
-                echo_s=link.echo_s,
-                worker=link.sent_instructions,
+                process=process,
+                echo_s=echo_s,
+                worker=instructions,
                 entries=self._entries(),
             ),
         )
