Split what the end of a run means from the engine

What an end means for its unit, its job and the worker's health is one concept (run_ends); putting a unit back to waiting belongs to the unit. No change of behaviour.

--- a/pimentobridge/core/jobs/progress.py
+++ b/pimentobridge/core/jobs/progress.py
@@ -103,6 +103,14 @@
             for machine in machines
         }
 
+    def requeue_if_released(self) -> None:
+        """Puts the unit back to waiting once no member can still execute."""
+        if self.status is UnitStatus.ENDING and all(
+            placement.released for placement in self.placements
+        ):
+            self.status = UnitStatus.WAITING
+            self.placements = []
+
 
 class Occurrence(msgspec.Struct, array_like=True):
     """One execution of a job's steps: the units of each step."""
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -20,6 +20,7 @@
 from pimentobridge.core.scheduling import lease_expiry
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import pass_requests
+from pimentobridge.core.scheduling import run_ends
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -74,6 +75,9 @@
             orders_valid_s=ORDER_VALIDITY_S,
             lease_s=max_lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_SLACK_S,
         )
+        self._run_ends = run_ends.RunEnds(
+            clock=clock, log=log, end_job=self._end_job
+        )
         self.jobs_by_id: dict[types.JobId, ledger.TrackedJob] = {}
         self.workers_by_incarnation: dict[
             runs.IncarnationKey, fleet.TrackedWorker
@@ -416,69 +420,12 @@
         )
         if unit.run == entry.run:
             unit.placements[entry.member].released = True
-            self._apply_end(worker, entry, end)
+            self._run_ends.apply(worker, entry, end)
             self.mark_changed(tracked)
         worker.unacknowledged_ends.append(
             (end.number, tracked, tracked.changes)
         )
 
-    def _apply_end(
-        self,
-        worker: fleet.TrackedWorker,
-        entry: ledger.RunEntry,
-        end: runs.EndedRun,
-    ) -> None:
-        tracked, unit = entry.tracked, entry.unit
-        if end.cause is runs.EndCause.DONE:
-            worker.health.on_done()
-            if not entry.step.long_running:
-                unit.status = progress_lib.UnitStatus.DONE
-                self._complete_occurrence_if_done(
-                    tracked, entry.name.occurrence
-                )
-                return
-        if unit.status is progress_lib.UnitStatus.DONE:
-            return
-        if end.checkpoint:
-            unit.checkpoint = end.checkpoint
-        if end.cause is runs.EndCause.FAILED:
-            unit.failed_on.append(worker.key.worker)
-            if worker.health.on_failed(tracked.id, self._clock.monotonic()):
-                self._log(
-                    "worker ejected",
-                    worker=worker.key.worker,
-                    until_s=worker.health.ejected_until_s,
-                )
-            if unit.counted_run < entry.run:
-                unit.counted_run = entry.run
-                unit.failures += 1
-        unit.status = progress_lib.UnitStatus.ENDING
-        self._fail_if_exhausted(tracked, entry)
-        self._requeue_if_released(tracked, unit)
-
-    def _fail_if_exhausted(
-        self, tracked: ledger.TrackedJob, entry: ledger.RunEntry
-    ) -> None:
-        if (
-            entry.unit.failures >= tracked.job.queue.max_attempts
-            and not entry.step.long_running
-            and not tracked.state.ended
-        ):
-            self._end_job(tracked, progress_lib.JobState.FAILED)
-
-    def _complete_occurrence_if_done(
-        self, tracked: ledger.TrackedJob, number: int
-    ) -> None:
-        progress = tracked.progress
-        occurrence = progress.occurrences_by_number.get(number)
-        if progress.state.ended or occurrence is None or not occurrence.done:
-            return
-        if tracked.job.occurrences:
-            del progress.occurrences_by_number[number]
-        progress.finished_occurrences += 1
-        if progress.finished_occurrences >= max(1, tracked.job.occurrences):
-            self._end_job(tracked, progress_lib.JobState.COMPLETED)
-
     def _release_run(
         self, worker: fleet.TrackedWorker, key: runs.RunKey, reason: str
     ) -> None:
@@ -507,19 +454,9 @@
             return
         unit.placements[entry.member].released = True
         unit.status = progress_lib.UnitStatus.ENDING
-        self._requeue_if_released(entry.tracked, unit)
+        unit.requeue_if_released()
         self.mark_changed(entry.tracked)
 
-    def _requeue_if_released(
-        self, tracked: ledger.TrackedJob, unit: progress_lib.Unit
-    ) -> None:
-        """Puts a unit back to waiting once no member can still execute."""
-        if unit.status is progress_lib.UnitStatus.ENDING and all(
-            placement.released for placement in unit.placements
-        ):
-            unit.status = progress_lib.UnitStatus.WAITING
-            unit.placements = []
-
     # Timeouts and due times.
 
     def declare_lost(self) -> None:
