Take a deregistered worker for ended only once it refuses connections

Shown in the simulation and by reading; not seen in a record of the users.

Cause: a worker that gets no answer to its deregistration goes on for some seconds. The agent may have noted the deregistration all the same, and then took the first call that couldn't reach the worker for proof of its end: an unreachable network, a connection given up, a lack of descriptors. The scheduler released the runs, which went on, and started them elsewhere.

Evidence: test_a_cut_does_not_show_that_a_worker_has_left failed before:

Limit of this evidence: the simulation's connections report a silent cut as "not sent".

Fix: the client tells a refused connection from one that failed for another reason. A deregistered worker has ended once all polls of 1 s were refused, which only a machine does on which nothing listens; 1 s is longer than a stop may take, in case a process closes its port before its runs have ended. Otherwise its lease decides, as for a worker that hasn't deregistered.

Behind an unreachable network they wait for the lease.

Changed test: test_a_deregistered_worker_ends_when_it_refuses_connections asserted the fault, as it took any unreachable worker for one that refuses. It now asserts the number of refusals to the poll, and three tests are added on what doesn't count.

--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -503,7 +503,9 @@
         )
         if not self._is_current(incarnation):
             return False
-        if response is not runner_status.PollFailure.UNREACHABLE:
+        refused = response is runner_status.PollFailure.REFUSED
+        unreachable = response is runner_status.PollFailure.UNREACHABLE
+        if not refused and not unreachable:
             self._view.contact.on_possible_arrival()
         if response is runner_status.PollFailure.TIMED_OUT:
             self._view.contact.on_timeout()
@@ -514,8 +516,9 @@
                 born_ms=incarnation.started_ms,
                 why=response.value,
             )
-            unreachable = response is runner_status.PollFailure.UNREACHABLE
-            if unreachable and self._view.contact.on_unreachable():
+            if (refused or unreachable) and (
+                self._view.contact.on_unreachable(refused=refused)
+            ):
                 self._wake_report.set()
             return False
         if self._view.is_outdated(response):
--- a/pimentobridge/daemons/worker_contact.py
+++ b/pimentobridge/daemons/worker_contact.py
@@ -5,6 +5,10 @@
 from pimentobridge.core.scheduling import engine
 
 POLL_RETRY_PAUSE_S = 0.1
+# A worker that has announced its end has ended once it has refused connections
+# for this long. A stop, during which its process may accept none any more,
+# takes less.
+REFUSAL_S = 1.0
 
 
 class WorkerContact:
@@ -21,8 +25,10 @@
         silent: whether a poll has timed out since its latest answer, so that
             its runs may have ended meanwhile.
         ended: whether the incarnation has certainly ended.
-        deregistered: whether it has announced that it is shutting down.
+        deregistered: whether it has announced that it is shutting down. It may
+            go on for a time, as it does if it got no answer.
         unreachable_polls: polls in a row that can't have reached it.
+        refused_polls: polls in a row whose connections it refused.
     """
 
     def __init__(self, max_lease_s: float) -> None:
@@ -33,10 +39,12 @@
         self.ended = False
         self.deregistered = False
         self.unreachable_polls = 0
+        self.refused_polls = 0
 
     def on_possible_arrival(self) -> None:
         """Notes that a call may have reached it and renewed its lease."""
         self.unreachable_polls = 0
+        self.refused_polls = 0
 
     def on_answer(self) -> bool:
         """Notes an answer; returns whether it wasn't reachable before."""
@@ -51,15 +59,18 @@
         """Notes a poll that may have arrived but wasn't answered in time."""
         self.silent = True
 
-    def on_unreachable(self) -> bool:
+    def on_unreachable(self, *, refused: bool) -> bool:
         """Notes a poll that can't have reached it.
 
+        Args:
+            refused: whether its connection was refused.
+
         Returns:
             Whether that changes what is known of it.
         """
-        changed = self.deregistered or self.reachable
-        self.ended |= self.deregistered
+        changed = self.reachable
         self.reachable = False
+        self.refused_polls = self.refused_polls + 1 if refused else 0
         return changed
 
     def on_retry_pause(self) -> bool:
@@ -67,13 +78,23 @@
 
         Returns:
             Whether the worker has just been found to have ended: nothing can
-            have renewed its lease since it expired.
+            have renewed its lease since it expired, or its process has ended as
+            announced.
         """
         if self.reachable:
             return False
         self.unreachable_polls += 1
-        passed_s = self.unreachable_polls * POLL_RETRY_PAUSE_S
-        if self.ended or passed_s <= self._lost_after_s:
+        if self.ended or not (self._is_lease_over or self._has_left):
             return False
         self.ended = True
         return True
+
+    @property
+    def _is_lease_over(self) -> bool:
+        passed_s = self.unreachable_polls * POLL_RETRY_PAUSE_S
+        return passed_s > self._lost_after_s
+
+    @property
+    def _has_left(self) -> bool:
+        refused_s = self.refused_polls * POLL_RETRY_PAUSE_S
+        return self.deregistered and refused_s > REFUSAL_S
--- a/pimentobridge/lab/faulty_client.py
+++ b/pimentobridge/lab/faulty_client.py
@@ -205,21 +205,26 @@
     ) -> http_client.Answer | http_client.Failure:
         """Returns the response to a call, or why there is none."""
         if self._client is None:
-            self._client = await self._open(timeout_s)
-        if self._client is None:
-            return http_client.Failure.NOT_SENT
+            opened = await self._open(timeout_s)
+            if isinstance(opened, http_client.Failure):
+                return opened
+            self._client = opened
         answer = await self._client.call(
             method, path, timeout_s=timeout_s, body=body, headers=headers
         )
         self._closed = isinstance(answer, http_client.Failure)
         return answer
 
-    async def _open(self, timeout_s: float) -> FaultyClient | None:
+    async def _open(
+        self, timeout_s: float
+    ) -> FaultyClient | http_client.Failure:
         if self._is_silent():
             await trio.sleep(timeout_s)
-        self._server = None if self._is_silent() else self._accept()
+        if self._is_silent():
+            return http_client.Failure.NOT_SENT
+        self._server = self._accept()
         if self._server is None:
-            return None
+            return http_client.Failure.REFUSED
         return self._connect(self._server.handler)
 
     async def close(self) -> None:
--- a/pimentobridge/platform/http_client.py
+++ b/pimentobridge/platform/http_client.py
@@ -24,11 +24,14 @@
 class Failure(enum.Enum):
     """Why a call has no response.
 
-    `NOT_SENT`: the call was not sent, so that the server can't have acted on
-    it. In the other cases the server may have acted on the call or may still do
-    so. `NO_ANSWER`: the connection has ended. `TIMED_OUT`: nothing was heard.
+    `REFUSED`: nothing accepts connections at the address. `NOT_SENT`: the call
+    was not sent for another reason. In both cases the server can't have acted
+    on it. In the other cases the server may have acted on the call or may still
+    do so. `NO_ANSWER`: the connection has ended. `TIMED_OUT`: nothing was
+    heard.
     """
 
+    REFUSED = "refused"
     NOT_SENT = "not-sent"
     NO_ANSWER = "no-answer"
     TIMED_OUT = "timed-out"
@@ -153,8 +156,8 @@
             httpcore.ConnectTimeout,
             httpcore.ConnectionNotAvailable,
             httpcore.PoolTimeout,
-        ):
-            return Failure.NOT_SENT
+        ) as error:
+            return Failure.REFUSED if _is_refusal(error) else Failure.NOT_SENT
         except (httpcore.TimeoutException, trio.TooSlowError):
             return Failure.TIMED_OUT
         except (httpcore.NetworkError, httpcore.ProtocolError):
@@ -234,6 +237,15 @@
         await self._connection.aclose()
 
 
+def _is_refusal(error: BaseException) -> bool:
+    """Whether all attempts to connect were refused, as by a closed port."""
+    if isinstance(error, ConnectionRefusedError):
+        return True
+    if isinstance(error, BaseExceptionGroup):
+        return all(_is_refusal(attempt) for attempt in error.exceptions)
+    return error.__cause__ is not None and _is_refusal(error.__cause__)
+
+
 _decoder = msgspec.json.Decoder(Any)
 
 
--- a/pimentobridge/platform/kv_store.py
+++ b/pimentobridge/platform/kv_store.py
@@ -301,7 +301,7 @@
 
 
 def _error_of_failure(failure: http_client.Failure) -> StoreError:
-    if failure is http_client.Failure.NOT_SENT:
+    if failure in (http_client.Failure.REFUSED, http_client.Failure.NOT_SENT):
         return StoreError.REFUSED
     return StoreError.UNKNOWN
 
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -83,6 +83,7 @@
 _START_RESULT_BY_FAILURE = {
     runner_status.PollFailure.OUTDATED_TOKEN: StartResult.OUTDATED_TOKEN,
     runner_status.PollFailure.WRONG_INCARNATION: StartResult.WRONG_INCARNATION,
+    runner_status.PollFailure.REFUSED: StartResult.UNREACHABLE,
     runner_status.PollFailure.UNREACHABLE: StartResult.UNREACHABLE,
     runner_status.PollFailure.UNKNOWN: StartResult.UNREACHABLE,
     runner_status.PollFailure.TIMED_OUT: StartResult.UNREACHABLE,
@@ -90,6 +91,7 @@
 _STOP_RESULT_BY_FAILURE = {
     runner_status.PollFailure.OUTDATED_TOKEN: StopResult.OUTDATED_TOKEN,
     runner_status.PollFailure.WRONG_INCARNATION: StopResult.WRONG_INCARNATION,
+    runner_status.PollFailure.REFUSED: StopResult.UNKNOWN,
     runner_status.PollFailure.UNREACHABLE: StopResult.UNKNOWN,
     runner_status.PollFailure.UNKNOWN: StopResult.UNKNOWN,
     runner_status.PollFailure.TIMED_OUT: StopResult.UNKNOWN,
@@ -144,7 +146,10 @@
         )
         if isinstance(answer, runner_status.PollFailure):
             return _START_RESULT_BY_FAILURE[answer]
-        if answer is http_client.Failure.NOT_SENT:
+        if answer in (
+            http_client.Failure.REFUSED,
+            http_client.Failure.NOT_SENT,
+        ):
             return StartResult.UNREACHABLE
         if isinstance(answer, http_client.Failure):
             return StartResult.UNKNOWN
--- a/pimentobridge/platform/runner_status.py
+++ b/pimentobridge/platform/runner_status.py
@@ -29,14 +29,17 @@
 class PollFailure(enum.Enum):
     """Why a poll returned no status.
 
-    `UNREACHABLE`: the call can't have reached the runner. `UNKNOWN`: the
-    response is missing or unexpected; the runner may have renewed the lease.
+    `REFUSED`: nothing accepts connections at the runner's address.
+    `UNREACHABLE`: the call can't have reached the runner for another reason.
+    `UNKNOWN`: the response is missing or unexpected; the runner may have
+    renewed the lease.
     `TIMED_OUT`: the same, and nothing was heard of the runner.
     `WRONG_INCARNATION`: another incarnation of the worker responded.
     """
 
     OUTDATED_TOKEN = "outdated-token"
     WRONG_INCARNATION = "other-life"
+    REFUSED = "refused"
     UNREACHABLE = "not-there"
     UNKNOWN = "unknown"
     TIMED_OUT = "timed-out"
@@ -52,6 +55,8 @@
         answer: the response to a poll.
         incarnation: the one that was polled.
     """
+    if answer is http_client.Failure.REFUSED:
+        return PollFailure.REFUSED
     if answer is http_client.Failure.NOT_SENT:
         return PollFailure.UNREACHABLE
     if answer is http_client.Failure.TIMED_OUT:
