--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -192,7 +192,7 @@
     def observe(
         self, agent: types.Address, observation: runs.Observation
     ) -> None:
-        """Processes an agent's report on its worker.
+        """Processes an agent's report on its worker, newer than those before.
 
         After an unexpected error, which is raised, nothing that the worker says
         of its runs is processed or acknowledged any more: what is known of them
@@ -213,9 +213,6 @@
         self, agent: types.Address, observation: runs.Observation
     ) -> None:
         key = observation.incarnation.key
-        latest = self.incarnation_by_agent.get(agent)
-        if latest is not None and latest.started_ms > key.started_ms:
-            return
         self._remove_replaced_incarnations(agent, observation)
         if observation.terminated and key not in self.workers_by_incarnation:
             return
@@ -292,11 +289,21 @@
     def _remove_replaced_incarnations(
         self, agent: types.Address, observation: runs.Observation
     ) -> None:
-        """Removes older incarnations on the machine of a new one."""
+        """Removes the incarnations before the one that an agent reports.
+
+        An agent reports the incarnation that is on its machine, and its reports
+        are in order. The times of day at which two incarnations of a machine
+        started may not be.
+        """
         key = observation.incarnation.key
         for old_key, worker in list(self.workers_by_incarnation.items()):
-            same_machine = old_key.worker == key.worker or worker.agent == agent
-            if same_machine and old_key.started_ms < key.started_ms:
+            if old_key == key:
+                continue
+            moved = (
+                old_key.worker == key.worker
+                and old_key.started_ms < key.started_ms
+            )
+            if worker.agent == agent or moved:
                 self._count_crashes(worker, agent, observation)
                 self._remove_incarnation(
                     old_key, "replaced by a newer incarnation"
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -173,7 +173,7 @@
         key = heartbeat.incarnation.key
         if current is not None and key == current.key:
             self._update_worker(current, heartbeat)
-        elif current is None or key.started_ms >= current.key.started_ms:
+        else:
             self._announcements.add(heartbeat)
 
     def _update_worker(
@@ -196,11 +196,14 @@
             self._wake_report.set()
 
     def _on_confirmed(self, heartbeat: heartbeats.Heartbeat) -> None:
-        """Takes an incarnation that the runner has confirmed for its own."""
+        """Takes an incarnation that the runner has confirmed for its own.
+
+        The runner is asked about one incarnation after the other, so that the
+        latest that it has confirmed is the present one. The time of day at
+        which it started may be earlier than that of the one before.
+        """
         current = self._worker
         key = heartbeat.incarnation.key
-        if current is not None and key.started_ms < current.key.started_ms:
-            return
         logs.event(
             "worker announced",
             worker=key.worker,
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -211,6 +211,23 @@
         world.workers[number].crash_runner()
 
 
+async def _set_clocks_back(world: world_lib.World, fault: Fault) -> None:
+    """Restarts runners, each of which says that it began before the last one.
+
+    They crash, lose power with their agents, or are drained.
+    """
+    async with trio.open_nursery() as nursery:
+        for number in fault.targets:
+            host = world.workers[number]
+            host.set_clock_back()
+            if number % 3 == 0:
+                host.crash_runner()
+            elif number % 3 == 1:
+                host.power_off()
+            else:
+                nursery.start_soon(host.drain_runner)
+
+
 async def _restart_runners_behind_cut(
     world: world_lib.World, fault: Fault
 ) -> None:
@@ -349,6 +366,7 @@
     "workers lose power": _power_off_workers,
     "runners crash": _crash_runners,
     "runners drain": _drain_runners,
+    "runners restart with clocks set back": _set_clocks_back,
     "runners restart behind a cut": _restart_runners_behind_cut,
     "agents cut off": _isolate_agents,
     "entries cut off": _isolate_entries,
--- a/pimentobridge/lab/machines.py
+++ b/pimentobridge/lab/machines.py
@@ -36,6 +36,10 @@
 MAX_LEASE_S = 6.0
 HEARTBEAT_INTERVAL_S = 1.5
 RESTART_DELAY_S = 0.6
+# Time of day of the first start of a runner, in Unix milliseconds, and how far
+# a time of day is set back.
+START_ORIGIN_MS = 1_000_000_000
+CLOCK_STEP_MS = 60_000
 # Time for which the machines of the workers are up at the start.
 UPTIME_S = 10_000.0
 # Time after which a runner that a task has crashed is back.
@@ -136,6 +140,8 @@
     def __init__(self, world: world_lib.World, number: int) -> None:
         self._world = world
         self._number = number
+        # How far the time of day of the machine is off.
+        self._clock_offset_ms = 0
         self.node = f"worker-{number}"
         self.address = types.Address(f"tcp://{self.node}:7000")
         self.runner = self._new_runner()
@@ -155,7 +161,9 @@
             world.pool,
             worker or f"i-{self._number}-{world.runner_incarnations}",
             world.capacity_of(self._number),
-            started_ms=world.runner_incarnations,
+            started_ms=self._clock_offset_ms
+            + START_ORIGIN_MS
+            + world.runner_incarnations,
             max_lease_s=MAX_LEASE_S,
             guards_capacity=world.runners_guard_capacity,
         )
@@ -311,6 +319,10 @@
         self.kill()
         self.crash_runner()
 
+    def set_clock_back(self) -> None:
+        """Sets the time of day back, so that the next start seems earlier."""
+        self._clock_offset_ms -= CLOCK_STEP_MS
+
     def crash_runner(self) -> None:
         """Crashes the runner and replaces it by a new incarnation."""
         self.runner.crash()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,6 +16,7 @@
 from pimentobridge.daemons import recorder
 from pimentobridge.daemons import worker_announcements
 from pimentobridge.lab import faults
+from pimentobridge.lab import machines
 from pimentobridge.lab import simulation
 from pimentobridge.lab import world as world_lib
 from pimentobridge.testing import platform_runner
@@ -136,6 +137,18 @@
     assert simulation.run(seed, [fault]).findings == []
 
 
+# Guards against LOST (issue 38): incarnations of a worker were ordered by the
+# time of day of their starts, and one with an earlier start was never used.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_workers_that_restart_with_an_earlier_time_of_day_are_used(
+    seed: int,
+) -> None:
+    fault = faults.Fault(
+        "runners restart with clocks set back", 6.0, 0.0, tuple(range(6))
+    )
+    assert simulation.run(seed, [fault]).findings == []
+
+
 def _rules(findings: list[str]) -> set[str]:
     return {finding.split(" ")[0] for finding in findings}
 
@@ -215,17 +228,21 @@
 def test_the_checker_detects_that_any_sender_is_believed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # Whatever incarnation a heartbeat names is taken for the runner's.
+    # Whatever incarnation a heartbeat names is taken for the runner's. Each
+    # runner has sent its only heartbeat before, as the next one of its own
+    # would be believed as well.
     def believe(
         self: worker_announcements.WorkerAnnouncements,
         heartbeat: heartbeats.Heartbeat,
     ) -> None:
         self._on_confirmed(heartbeat)
 
+    monkeypatch.setattr(machines, "HEARTBEAT_INTERVAL_S", float("inf"))
+    fault = faults.Fault("odd heartbeats", 9.0, 2.0, tuple(range(6)))
+    assert simulation.run(1, [fault]).findings == []
     monkeypatch.setattr(
         worker_announcements.WorkerAnnouncements, "add", believe
     )
-    fault = faults.Fault("odd heartbeats", 9.0, 2.0, tuple(range(6)))
     assert "LOST" in _rules(simulation.run(1, [fault]).findings)
 
 
--- a/tests/test_report_order.py
+++ b/tests/test_report_order.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import msgspec
+
 from pimentobridge.core import clock as clock_lib
 from pimentobridge.core import types
 from pimentobridge.core.jobs import progress as progress_lib
@@ -23,6 +25,7 @@
 # The time of day was set back between the starts of these incarnations.
 EARLIER = runs.IncarnationKey(types.WorkerId("i-1"), 2000)
 PRESENT = runs.IncarnationKey(types.WorkerId("i-1"), 1000)
+FOLLOWING = runs.IncarnationKey(types.WorkerId("i-1"), 500)
 
 
 class Leader:
@@ -143,3 +146,34 @@
     scheduler.on_report(_report("present", 4.0, PRESENT))
     newest = outbox.sent[-1]
     assert (newest.process, newest.echo_s) == ("present", 4.0)
+
+
+def test_a_new_process_is_believed_once_orders_have_reached_it() -> None:
+    outbox = Outbox()
+    scheduler = _new_scheduler(outbox)
+    unit = _put_run_on(scheduler, PRESENT)
+    scheduler.on_report(_report("present", 9.0, PRESENT))
+    scheduler.on_report(_report("following", 1.0))
+    newest = outbox.sent[-1]
+    assert (newest.process, newest.echo_s) == ("following", 1.0)
+    assert unit.status is progress_lib.UnitStatus.ACTIVE
+    scheduler.on_report(_report("following", 2.0, FOLLOWING, answered_s=1.0))
+    assert unit.status is progress_lib.UnitStatus.WAITING
+    late = msgspec.structs.replace(_report("present", 10.0, PRESENT))
+    scheduler.on_report(late)
+    assert list(scheduler.engine.workers_by_incarnation) == [FOLLOWING]
+
+
+# Guards against LOST (issue 38): the time of day had been set back, so that the
+# incarnation after a drained one counted as older, until the end of the term.
+def test_the_incarnation_after_one_that_has_ended_is_used() -> None:
+    scheduler = _new_scheduler(Outbox())
+    drained = _report("a", 3.0, EARLIER)
+    assert drained.worker is not None
+    ended = msgspec.structs.replace(drained.worker, terminated=True)
+    scheduler.on_report(drained)
+    scheduler.on_report(
+        msgspec.structs.replace(drained, sent_s=4.0, worker=ended)
+    )
+    scheduler.on_report(_report("a", 5.0, PRESENT))
+    assert list(scheduler.engine.workers_by_incarnation) == [PRESENT]
