--- a/pimentobridge/daemons/store_mirror.py
+++ b/pimentobridge/daemons/store_mirror.py
@@ -80,11 +80,20 @@
             await self._changed.wait()
 
     def offer(self, item: kv_store.Item) -> None:
-        """Applies an item unless the mirror has a newer revision of it.
+        """Applies an item of a copy or of this process's own writes.
 
-        Besides reads and watches, copies from other processes and this one's
-        own writes supply items.
+        An item that the mirror has in a newer revision changes nothing. Nor
+        does one that the mirror lacks although it is as new as the item: it was
+        deleted since.
         """
+        deleted = (
+            item.key not in self.items_by_key and item.revision <= self.revision
+        )
+        if not deleted:
+            self._apply(item)
+
+    def _apply(self, item: kv_store.Item) -> None:
+        """Applies an item unless the mirror has a newer revision of it."""
         current = self.items_by_key.get(item.key)
         if current is not None and current.revision >= item.revision:
             return
@@ -121,9 +130,9 @@
         for key in [key for key in self.items_by_key if key not in read_by_key]:
             missing = self.items_by_key[key]
             if missing.revision <= first_revision:
-                self.offer(kv_store.Item(key, None, max(first_revision, 1)))
+                self._apply(kv_store.Item(key, None, max(first_revision, 1)))
         for item in read_by_key.values():
-            self.offer(item)
+            self._apply(item)
         self._advance(first_revision)
         self.loaded = True
         return True
@@ -141,7 +150,7 @@
                 self._set_reachable(True, "watch succeeded")
                 self._log_large_answer(changes.ok_value.items, called_s)
                 for item in changes.ok_value.items:
-                    self.offer(item)
+                    self._apply(item)
                 self._advance(changes.ok_value.store_revision)
                 continue
             error = changes.err_value
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -2,13 +2,24 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import result
 import trio
 
 from pimentobridge.bench import harness
+from pimentobridge.core import types
+from pimentobridge.daemons import keys
+from pimentobridge.daemons import mirror_sharing
 from pimentobridge.daemons import store_mirror
 from pimentobridge.daemons import trio_clock
 from pimentobridge.platform import kv_store
+from pimentobridge.protocol import control
+from pimentobridge.testing import platform_store
+from pimentobridge.testing import slow_client
+
+if TYPE_CHECKING:
+    from pimentobridge.protocol import messages
 
 CALL_S = 0.007
 # Share of a caller's three seconds that an entry may need to notice that the
@@ -80,3 +91,58 @@
             _noticed_after_s, 2.0 + 0.05 * step, seed=1
         )
         assert delay_s <= MAX_DELAY_S
+
+
+class NoPeers:
+    """The absence of other entries."""
+
+    def send(self, receiver: types.Address, message: messages.Message) -> None:
+        raise AssertionError
+
+    def reset(self, receiver: types.Address) -> None:
+        raise AssertionError
+
+
+async def _keys_after_late_copy(*, deleted: bool) -> list[str]:
+    """Returns the mirrored keys after a copy from before a deletion."""
+    store = platform_store.PlatformStore(trio.current_time)
+    client = kv_store.KvStore(slow_client.SlowClient(store))
+    clock = trio_clock.TrioClock()
+    mirror = store_mirror.StoreMirror(
+        store=client,
+        prefix=keys.PREFIX,
+        clock=clock,
+        on_change=lambda _: None,
+    )
+    sharing = mirror_sharing.MirrorSharing(
+        mirrors={keys.PREFIX: mirror},
+        endpoint=NoPeers(),
+        peers=list,
+        clock=clock,
+    )
+    job = keys.job(types.JobId("a" * 16))
+    revision = store.put(job, "")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(mirror.run)
+        await trio.sleep(1.0)
+        if deleted:
+            await client.transact(expected={}, puts=[], deletes=[job])
+        await trio.sleep(1.0)
+        copied = control.MirroredItem(job, b"", revision)
+        sharing.on_copy(
+            types.Address("tcp://entry-1:7000"),
+            control.MirrorCopy(
+                keys.PREFIX, current=True, revision=revision, items=(copied,)
+            ),
+        )
+        nursery.cancel_scope.cancel()
+    return list(mirror.items_by_key)
+
+
+# Guards against TWICE (issue 38): a late copy brought a deleted job back, at
+# times without its progress. The next scheduler here would start it again.
+def test_a_late_copy_brings_no_deleted_item_back() -> None:
+    found = harness.run_virtual(lambda: _keys_after_late_copy(deleted=True))
+    assert found == []
+    found = harness.run_virtual(lambda: _keys_after_late_copy(deleted=False))
+    assert len(found) == 1
