Send no start to a worker that has been reported as ended

Cause: an agent that finds its worker ended, as it couldn't be reached for as long as a lease lasts, reports that, and the scheduler starts the worker's runs elsewhere. Its orders then name no worker, and the agent ignored such orders but took them for an answer to its reports. So it went on with the starts of before, every 0.1 s. If the worker was up and could be reached again, as after a cut, it carried out a start that had never reached it. The lease had ended the runs that were there, not those that were yet to start.

Limit: with the real client that takes connections which fail at once, refused or without a route, for the whole lease, and the same process afterwards. A silent cut shows as time-outs, after which no worker is found ended.

Fix: three parts. No start is sent from the moment at which the worker would be found ended, and it is not found ended while one is under way. The orders of before are dropped then. Orders that answer a later report were made by a scheduler that either knows of the end or has released nothing.

--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -88,6 +88,9 @@
         # Sending time of the newest report that orders answered; 0 for none.
         self._answered_s = 0.0
         self._instructions: runs.Instructions | None = None
+        # When a worker was last found to have ended; 0 if never. Orders that
+        # answer an earlier report may name runs that have moved since.
+        self._end_found_s = 0.0
         self._worker: runs.WorkerIncarnation | None = None
         self._announcements = worker_announcements.WorkerAnnouncements(
             runner=runner,
@@ -291,7 +294,10 @@
         instructions = orders.worker
         if instructions is None or not self._may_act():
             return
-        if not self._is_current(instructions.incarnation):
+        if (
+            not self._is_current(instructions.incarnation)
+            or orders.echo_s <= self._end_found_s
+        ):
             return
         self._instructions = instructions
         if instructions.acknowledged_end > self._view.acknowledged_end:
@@ -350,6 +356,7 @@
         return (
             self._may_act()
             and self._is_current(incarnation)
+            and not self._view.contact.presumed_ended
             and self._instructions is not None
             and any(order.key == key for order in self._instructions.starts)
         )
@@ -365,12 +372,15 @@
                 await trio.sleep(ORDER_RETRY_PAUSE_S)
                 continue
             token = self._token
-            outcome = await self._runner.start(
-                incarnation,
-                order,
-                token=token,
-                lease_until_s=self._view.lease_until_s(self._clock.monotonic()),
-            )
+            with self._view.contact.start_under_way():
+                outcome = await self._runner.start(
+                    incarnation,
+                    order,
+                    token=token,
+                    lease_until_s=self._view.lease_until_s(
+                        self._clock.monotonic()
+                    ),
+                )
             logs.event(
                 "start ordered",
                 task=order.key.task,
@@ -535,6 +545,8 @@
             worker=self._worker.key.worker,
             unreachable_polls=self._view.contact.unreachable_polls,
         )
+        self._instructions = None
+        self._end_found_s = self._clock.monotonic()
         self._note_end_of_incarnation()
         self._wake_report.set()
 
--- a/pimentobridge/daemons/worker_contact.py
+++ b/pimentobridge/daemons/worker_contact.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+from typing import TYPE_CHECKING
+
 from pimentobridge.core.scheduling import engine
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 POLL_RETRY_PAUSE_S = 0.1
 # A worker that has announced its end has ended once it has refused connections
 # for this long. A stop, during which its process may accept none any more,
@@ -29,6 +35,7 @@
             go on for a time, as it does if it got no answer.
         unreachable_polls: polls in a row that can't have reached it.
         refused_polls: polls in a row whose connections it refused.
+        starts_under_way: starts that may arrive at it yet.
     """
 
     def __init__(self, max_lease_s: float) -> None:
@@ -40,6 +47,16 @@
         self.deregistered = False
         self.unreachable_polls = 0
         self.refused_polls = 0
+        self.starts_under_way = 0
+
+    @contextlib.contextmanager
+    def start_under_way(self) -> Iterator[None]:
+        """Holds back the finding that it has ended, during a start."""
+        self.starts_under_way += 1
+        try:
+            yield
+        finally:
+            self.starts_under_way -= 1
 
     def on_possible_arrival(self) -> None:
         """Notes that a call may have reached it and renewed its lease."""
@@ -84,11 +101,20 @@
         if self.reachable:
             return False
         self.unreachable_polls += 1
-        if self.ended or not (self._is_lease_over or self._has_left):
+        if self.ended or self.starts_under_way or not self.presumed_ended:
             return False
         self.ended = True
         return True
 
+    @property
+    def presumed_ended(self) -> bool:
+        """Whether it has ended unless a start under way arrives.
+
+        No other start may be sent to it from then on: once it is reported as
+        ended, its runs start elsewhere.
+        """
+        return not self.reachable and (self._is_lease_over or self._has_left)
+
     @property
     def _is_lease_over(self) -> bool:
         passed_s = self.unreachable_polls * POLL_RETRY_PAUSE_S
--- a/tests/test_worker_contact.py
+++ b/tests/test_worker_contact.py
@@ -70,6 +70,16 @@
     assert not any(_fail(contact, REFUSALS_TO_END - 1, refused=True))
 
 
+# Guards against TWICE (issue 38): a start that arrived after all, when its
+# worker had been reported as ended.
+def test_a_worker_has_not_ended_while_a_start_may_arrive() -> None:
+    contact = worker_contact.WorkerContact(MAX_LEASE_S)
+    with contact.start_under_way():
+        assert not any(_fail(contact, POLLS_TO_END + 1))
+        assert contact.presumed_ended
+    assert _fail(contact, 1) == [True]
+
+
 def test_refusals_alone_do_not_end_a_worker() -> None:
     contact = worker_contact.WorkerContact(MAX_LEASE_S)
     assert not any(_fail(contact, POLLS_TO_END - 1, refused=True))
