Don't lengthen a lease by the error of the worker's clock

Cause: the end of a lease is computed as the worker's clock in its newest answer to a poll, the time since, and the maximum. The worker's clock may be 2 % slow, so that the end was later than the maximum from the time of the call, by 2 % of the time since that answer. A worker shortens the lease to its maximum when it carries out the call, which doesn't help when that is late. The scheduler counts from the call; its slack of 0.5 s is used up after 25 s without an answer to a poll.

Fix: the time since the answer counts by what the slowest clock allowed shows of it. Cost: a lease is shorter by 2 % of the time since the latest answer, 0.02 s with a poll each second.

--- a/pimentobridge/daemons/worker_view.py
+++ b/pimentobridge/daemons/worker_view.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import expected_ends
 from pimentobridge.daemons import worker_contact
 
@@ -50,8 +51,13 @@
         self._clock_read_s = 0.0
 
     def lease_until_s(self, now_s: float) -> float:
-        """Returns the end of the longest lease, on the worker's clock."""
-        passed_s = now_s - self._clock_read_s
+        """Returns the end of the longest lease, on the worker's clock.
+
+        A call may be carried out late, and the worker shortens a lease only to
+        its maximum from then on. So the end must not be later than the maximum
+        from now on, also if its clock is slow.
+        """
+        passed_s = (now_s - self._clock_read_s) * (1 - engine.CLOCK_RATE_ERROR)
         return self._clock_s + passed_s + self._max_lease_s
 
     @property
