Draw unhealthy runners, unanswered orders and longer stops in the lab

The simulation and the soak drew late orders, but no runner that refuses a start as unhealthy, no order whose answer alone is lost, and a stop always took 0.4 s.

New kinds: runners that refuse 30 to 90 % of the starts (429 or 503), alone, beside orders without an answer, beside orders carried out 1 to 12 s late, and around short cuts that lose every answer of the runner; the two faults of orders alone. A stop takes 0.4 to 0.9 s, drawn for each seed. Three of five seeds also get a series: one of these faults for 10 s or more, and up to four others on the same workers meanwhile. The soak has the same kinds, in the fake runners and proxies, and such a series.

--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -9,6 +9,7 @@
 import trio
 
 from pimentobridge.lab import faulty_client
+from pimentobridge.lab import runner_faults
 from pimentobridge.platform import operator_configuration
 from pimentobridge.testing import odd_entries
 
@@ -22,6 +23,30 @@
 MAX_FAULTS = 5
 # Share of the entries or workers that a fault affects.
 TARGET_SHARE = 0.35
+# Share of the simulations with a series of faults of the same workers.
+SERIES_SHARE = 0.6
+MIN_SERIES_S = 10.0
+MAX_FAULTS_IN_SERIES = 4
+# Faults of the calls to some workers, which last as long as a series.
+CALL_KINDS = (
+    "answers to orders lost",
+    "orders late on some workers",
+    "runners unhealthy, answers cut off",
+    "runners unhealthy, answers lost",
+    "runners unhealthy, orders late",
+)
+# Faults that come in the midst of a series.
+KINDS_IN_SERIES = (
+    "agents cut off",
+    "agents killed",
+    "agents terminated",
+    "entries terminated",
+    "runners crash",
+    "runners drain",
+    "runners unhealthy",
+    "scheduler killed",
+    "workers lose power",
+)
 # Share of the tasks first started during the fault that crash their runners.
 DEADLY_SHARE = 0.2
 ODD_HEARTBEAT_INTERVAL_S = 0.7
@@ -61,20 +86,58 @@
     faults = []
     for _ in range(rng.randint(1, MAX_FAULTS)):
         kind = rng.choice(sorted(_INJECTORS))
-        # The names of the faults of entries contain "entries".
-        machine_count = entries if "entr" in kind else workers
-        count = max(1, int(machine_count * TARGET_SHARE))
         faults.append(
             Fault(
                 kind=kind,
                 at_s=round(rng.uniform(0.5, length_s), 2),
                 for_s=round(rng.uniform(1.0, 9.0), 2),
-                targets=tuple(sorted(rng.sample(range(machine_count), count))),
+                targets=_random_targets(
+                    rng, kind, entries=entries, workers=workers
+                ),
             )
         )
+    if rng.random() < SERIES_SHARE:
+        faults += _random_series(
+            rng, length_s=length_s, entries=entries, workers=workers
+        )
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _random_targets(
+    rng: random.Random, kind: str, *, entries: int, workers: int
+) -> tuple[int, ...]:
+    # The names of the faults of entries contain "entries".
+    machine_count = entries if "entr" in kind else workers
+    count = max(1, int(machine_count * TARGET_SHARE))
+    return tuple(sorted(rng.sample(range(machine_count), count)))
+
+
+def _random_series(
+    rng: random.Random, *, length_s: float, entries: int, workers: int
+) -> list[Fault]:
+    """Returns a long fault of the calls to some workers, and others meanwhile.
+
+    All faults of workers in the series affect the same ones.
+    """
+    at_s = rng.uniform(0.5, length_s / 2)
+    until_s = rng.uniform(at_s + MIN_SERIES_S, length_s + MIN_SERIES_S)
+    kind = rng.choice(CALL_KINDS)
+    targets = _random_targets(rng, kind, entries=entries, workers=workers)
+    faults = [Fault(kind, round(at_s, 2), round(until_s - at_s, 2), targets)]
+    for _ in range(rng.randint(0, MAX_FAULTS_IN_SERIES)):
+        kind = rng.choice(KINDS_IN_SERIES)
+        others = _random_targets(rng, kind, entries=entries, workers=workers)
+        faults.append(
+            Fault(
+                kind=kind,
+                at_s=round(rng.uniform(at_s, until_s), 2),
+                for_s=round(rng.uniform(0.3, 9.0), 2),
+                targets=others if "entr" in kind else targets,
+            )
+        )
+    return faults
+
+
 async def inject(world: world_lib.World, fault: Fault) -> None:
     """Waits until a fault is due, injects it and ends it."""
     await trio.sleep(fault.at_s)
@@ -355,6 +418,22 @@
     "connections silent": _silence_connections,
     "runners fail all": _fail_all_runs,
     "runners stand still": _hang_runners,
+    "runners unhealthy": runner_faults.refuse_starts,
+    "runners unhealthy, answers cut off": (
+        runner_faults.refuse_starts_around_cuts
+    ),
+    "runners unhealthy, answers lost": runner_faults.order_injector(
+        runner_faults.lost_answers, unhealthy=True
+    ),
+    "runners unhealthy, orders late": runner_faults.order_injector(
+        runner_faults.late_orders, unhealthy=True
+    ),
+    "answers to orders lost": runner_faults.order_injector(
+        runner_faults.lost_answers, unhealthy=False
+    ),
+    "orders late on some workers": runner_faults.order_injector(
+        runner_faults.late_orders, unhealthy=False
+    ),
     "configuration changes": _change_configuration,
     "tasks crash their runners": _make_tasks_deadly,
     "capacity shrinks": _shrink_capacity,
--- a/pimentobridge/lab/faulty_client.py
+++ b/pimentobridge/lab/faulty_client.py
@@ -9,6 +9,7 @@
 import trio
 
 from pimentobridge.platform import http_client
+from pimentobridge.testing import order_faults
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -31,11 +32,13 @@
         SILENT: calls get no response until they time out.
         BUSY: calls are rejected with status 503.
         RESET: connections are reset.
+        UNANSWERED: calls are carried out, but their answers are lost.
     """
 
     SILENT = "silent"
     BUSY = "busy"
     RESET = "reset"
+    UNANSWERED = "unanswered"
 
 
 @dataclasses.dataclass
@@ -51,6 +54,8 @@
         late_execution_rate: share of the calls other than GET that are carried
             out seconds later and never answered.
         delay_factor: multiplies the duration of each call.
+        order_faults_by_node: faults of the orders of single machines to their
+            runners, by node name.
     """
 
     outage: OutageMode | None = None
@@ -60,6 +65,9 @@
     lost_answer_rate: float = 0.0
     late_execution_rate: float = 0.0
     delay_factor: float = 1.0
+    order_faults_by_node: dict[str, order_faults.OrderFaults] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 class FaultyClient:
@@ -119,16 +127,25 @@
             await trio.sleep(timeout_s)
             return http_client.Failure.TIMED_OUT
         is_change = method != "GET"
-        if is_change and self._rng.random() < faults.late_execution_rate:
+        treatment = self._order_treatment(path)
+        late_s = None
+        if treatment is order_faults.Treatment.LATE:
+            late_s = order_faults.random_lateness_s(self._rng)
+        elif is_change and self._rng.random() < faults.late_execution_rate:
+            late_s = self._rng.uniform(MIN_LATENESS_S, MAX_LATENESS_S)
+        if late_s is not None:
             self._nursery.start_soon(
-                self._execute_late, method, path, body, headers or {}
+                self._execute_late, late_s, method, path, body, headers or {}
             )
             await trio.sleep(timeout_s)
             return http_client.Failure.TIMED_OUT
         with trio.move_on_after(timeout_s):
             await trio.sleep(self._delay_s * faults.delay_factor)
             answer = await self._handler(method, path, body, headers or {})
+            is_lost = treatment is order_faults.Treatment.ANSWER_LOST
             if is_change and self._rng.random() < faults.lost_answer_rate:
+                is_lost = True
+            if is_lost:
                 await trio.sleep_forever()
             # The answer is lost if an outage began during the call.
             outage_now = faults.outage_by_node.get(self._node, faults.outage)
@@ -137,14 +154,21 @@
             return answer
         return http_client.Failure.TIMED_OUT
 
+    def _order_treatment(self, path: str) -> order_faults.Treatment:
+        faults = self._faults.order_faults_by_node.get(self._node)
+        if faults is None:
+            return order_faults.Treatment.ANSWERED
+        return faults.treatment(path, self._rng)
+
     async def _execute_late(
         self,
+        late_s: float,
         method: str,
         path: str,
         body: object | None,
         headers: dict[str, str],
     ) -> None:
-        await trio.sleep(self._rng.uniform(MIN_LATENESS_S, MAX_LATENESS_S))
+        await trio.sleep(late_s)
         await self._handler(method, path, body, headers)
 
 
--- a/pimentobridge/lab/machines.py
+++ b/pimentobridge/lab/machines.py
@@ -138,6 +138,7 @@
         self._number = number
         self.node = f"worker-{number}"
         self.address = types.Address(f"tcp://{self.node}:7000")
+        self._refused_share = 0.0
         self.runner = self._new_runner()
         self.agent: worker_agent.WorkerAgent | None = None
         self._scope: trio.CancelScope | None = None
@@ -151,7 +152,7 @@
         """Returns a new incarnation, under the given id or under a new one."""
         world = self._world
         world.runner_incarnations += 1
-        return platform_runner.PlatformRunner(
+        runner = platform_runner.PlatformRunner(
             world.pool,
             worker or f"i-{self._number}-{world.runner_incarnations}",
             world.capacity_of(self._number),
@@ -159,6 +160,12 @@
             max_lease_s=MAX_LEASE_S,
             guards_capacity=world.runners_guard_capacity,
         )
+        runner.refused_share = self._refused_share
+        return runner
+
+    def refuse_starts(self, share: float) -> None:
+        """Makes the runner and its successors refuse a share of the starts."""
+        self._refused_share = self.runner.refused_share = share
 
     async def restart_crashed_runners(self) -> None:
         """Replaces a runner that has crashed by itself, until cancelled."""
--- a/pimentobridge/lab/simulation.py
+++ b/pimentobridge/lab/simulation.py
@@ -14,6 +14,7 @@
 from pimentobridge.lab import operator_documents
 from pimentobridge.lab import unexpected_errors
 from pimentobridge.lab import world as world_lib
+from pimentobridge.testing import platform_runner
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -74,6 +75,13 @@
     return result
 
 
+def random_stop_s(seed: int) -> float:
+    """Returns the duration of a stop in the run of a seed, in seconds."""
+    return random.Random(f"stops {seed}").uniform(
+        platform_runner.STOP_DURATION_S, platform_runner.MAX_STOP_DURATION_S
+    )
+
+
 async def _simulate(
     seed: int,
     given_faults: Sequence[faults_lib.Fault] | None,
@@ -96,6 +104,7 @@
             advised=ADVISED_PRIORITIES,
             runners_guard_capacity=guards_capacity,
             small_workers=seed % (WORKERS // 2),
+            stop_s=random_stop_s(seed),
         )
         with unexpected_errors.reported(world.checker.on_unexpected_error):
             world.put_configuration()
--- a/pimentobridge/lab/soak.py
+++ b/pimentobridge/lab/soak.py
@@ -95,6 +95,8 @@
             ],
             self._checker,
             small_workers=seed % (WORKERS // 2),
+            stop_s=simulation.random_stop_s(seed),
+            rng=random.Random(f"orders {seed}"),
         )
         self._faults = soak_faults.SoakFaults(
             random.Random(f"faults {seed}"),
--- a/pimentobridge/lab/soak_faults.py
+++ b/pimentobridge/lab/soak_faults.py
@@ -12,6 +12,7 @@
 
 from pimentobridge.core import types
 from pimentobridge.core.jobs import runs
+from pimentobridge.lab import runner_faults
 from pimentobridge.testing import loopback_proxy
 from pimentobridge.testing import odd_entries
 from pimentobridge.testing import odd_heartbeats
@@ -26,6 +27,10 @@
     from pimentobridge.testing import platform_servers
 
 FAULT_INTERVAL_S = 1.5
+# Share of the soaks with a series of faults of the calls to the same runners.
+SERIES_SHARE = 0.6
+RUNNERS_IN_SERIES = 2
+MAX_SERIES_FAULT_S = 8.0
 TERMINATION_GRACE_S = 6.0
 # Share of the tasks first started during the fault that crash their runners.
 DEADLY_SHARE = 0.2
@@ -86,6 +91,10 @@
             self._silence_connections,
             self._reset_connections,
             self._slow_runner_calls,
+            self._refuse_starts,
+            self._disturb_orders,
+            self._refuse_starts_and_disturb_orders,
+            self._refuse_starts_around_cuts,
             self._make_store_busy,
             self._crash_runner,
             self._restart_runner_under_its_id,
@@ -96,6 +105,8 @@
             self._send_odd_heartbeats,
         ]
         async with trio.open_nursery() as nursery:
+            if self._rng.random() < SERIES_SHARE:
+                nursery.start_soon(self._inject_series, until_s)
             while trio.current_time() < until_s:
                 await trio.sleep(self._rng.expovariate(1 / FAULT_INTERVAL_S))
                 nursery.start_soon(
@@ -103,6 +114,26 @@
                     self._rng.uniform(0.3, 4.0),
                 )
 
+    async def _inject_series(self, until_s: float) -> None:
+        """Disturbs the calls to the same two runners, again and again."""
+        injectors = [
+            self._refuse_starts,
+            self._disturb_orders,
+            self._refuse_starts_and_disturb_orders,
+            self._refuse_starts_around_cuts,
+        ]
+        numbers = self._rng.sample(
+            range(len(self.runner_proxies)), RUNNERS_IN_SERIES
+        )
+        while trio.current_time() < until_s:
+            async with trio.open_nursery() as nursery:
+                for number in numbers:
+                    nursery.start_soon(
+                        self._rng.choice(injectors),
+                        self._rng.uniform(2.0, MAX_SERIES_FAULT_S),
+                        number,
+                    )
+
     @contextlib.contextmanager
     def _recorded_fault(self, description: str) -> Iterator[None]:
         self.injected.append(f"{trio.current_time():.2f} {description}")
@@ -204,6 +235,77 @@
             await trio.sleep(duration_s)
             proxy.delay_s = 0.0
 
+    async def _refuse_starts(
+        self, duration_s: float, number: int | None = None
+    ) -> None:
+        number = self._random_worker() if number is None else number
+        await self._apply_refusals(number, duration_s)
+
+    async def _apply_refusals(self, number: int, duration_s: float) -> None:
+        runner = self._platform.runners[number]
+        with self._recorded_fault(
+            f"runner {number} unhealthy for {duration_s:.1f} s"
+        ):
+            runner.refused_share = runner_faults.random_refused_share(self._rng)
+            await trio.sleep(duration_s)
+            runner.refused_share = 0.0
+
+    async def _disturb_orders(
+        self, duration_s: float, number: int | None = None
+    ) -> None:
+        number = self._random_worker() if number is None else number
+        await self._apply_order_faults(number, duration_s)
+
+    async def _apply_order_faults(self, number: int, duration_s: float) -> None:
+        """Loses the answers to orders, or carries the orders out late."""
+        draw = self._rng.choice(
+            [runner_faults.lost_answers, runner_faults.late_orders]
+        )
+        order_faults = draw(self._rng)
+        with self._recorded_fault(
+            f"runner {number}: {order_faults} for {duration_s:.1f} s"
+        ):
+            by_runner = self._platform.order_faults_by_runner
+            by_runner[number] = order_faults
+            await trio.sleep(duration_s)
+            by_runner.pop(number, None)
+
+    async def _refuse_starts_and_disturb_orders(
+        self, duration_s: float, number: int | None = None
+    ) -> None:
+        number = self._random_worker() if number is None else number
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._apply_refusals, number, duration_s)
+            nursery.start_soon(self._apply_order_faults, number, duration_s)
+
+    async def _refuse_starts_around_cuts(
+        self, duration_s: float, number: int | None = None
+    ) -> None:
+        """Loses all answers of an unhealthy runner, again and again."""
+        number = self._random_worker() if number is None else number
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._lose_all_answers, number)
+            await self._apply_refusals(number, duration_s)
+            nursery.cancel_scope.cancel()
+
+    async def _lose_all_answers(self, number: int) -> None:
+        proxy = self.runner_proxies[number]
+        while True:
+            await trio.sleep(
+                self._rng.uniform(
+                    runner_faults.MIN_CUT_S, runner_faults.MAX_PAUSE_S
+                )
+            )
+            proxy.link_fault = loopback_proxy.LinkFault.ANSWERS
+            try:
+                await trio.sleep(
+                    self._rng.uniform(
+                        runner_faults.MIN_CUT_S, runner_faults.MAX_CUT_S
+                    )
+                )
+            finally:
+                proxy.link_fault = None
+
     async def _make_store_busy(self, duration_s: float) -> None:
         with self._recorded_fault(f"store busy for {duration_s:.1f} s"):
             self._platform.store_busy = True
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -67,6 +67,7 @@
         runners_guard_capacity: whether the runners reject what doesn't fit.
         small_workers: how many of the workers, the last ones, have half the
             memory and processors of the others.
+        stop_s: duration of a stop of a run, in seconds.
 
     Attributes:
         last_fault_s: time at which a fault was last active, in seconds.
@@ -85,6 +86,7 @@
         entry_link_bytes_per_s: float | None = None,
         runners_guard_capacity: bool = True,
         small_workers: int = 0,
+        stop_s: float = platform_runner.STOP_DURATION_S,
     ) -> None:
         self._large_workers = workers - small_workers
         self.runners_guard_capacity = runners_guard_capacity
@@ -104,7 +106,11 @@
             trio.current_time, lambda: self.last_fault_s
         )
         self.pool = platform_runner.RunnerPool(
-            trio.current_time, self.checker, advice=self.advice
+            trio.current_time,
+            self.checker,
+            advice=self.advice,
+            stop_s=stop_s,
+            rng=rng,
         )
         self.runner_incarnations = 0
         self.origin = trio_clock.FIXED_ORIGIN
--- a/pimentobridge/testing/platform_runner.py
+++ b/pimentobridge/testing/platform_runner.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import random
 from typing import TYPE_CHECKING
 from typing import Any
 import zlib
@@ -20,6 +21,10 @@
 
 GANG_ASSEMBLY_TIMEOUT_S = 3.0
 STOP_DURATION_S = 0.4
+# Longest duration of a stop on any site.
+MAX_STOP_DURATION_S = 0.9
+# Statuses of the answers of an unhealthy runner to starts.
+UNHEALTHY_STATUSES = (429, 503)
 CHECKPOINT_INTERVAL_S = 2.0
 RESTORE_DURATION_S = 0.25
 # Time from the start of a deadly task to the crash of its runner.
@@ -127,6 +132,8 @@
         clock: returns the monotonic time in seconds.
         observer: receives the events of all runners.
         advice: policy service that issues the tickets for advised tasks.
+        stop_s: duration of a stop, in seconds.
+        rng: decides which starts unhealthy runners refuse.
 
     Attributes:
         ticket_rejections: number of starts rejected for lack of a valid ticket.
@@ -140,7 +147,11 @@
         observer: RunObserver,
         *,
         advice: platform_advice.PlatformAdvice | None = None,
+        stop_s: float = STOP_DURATION_S,
+        rng: random.Random | None = None,
     ) -> None:
+        self.stop_s = stop_s
+        self.rng = rng or random.Random(0)
         self.clock = clock
         self.observer = observer
         self.advice = advice
@@ -193,6 +204,7 @@
         draining: whether the runner is being drained.
         failing: whether every run fails after 0.5 s of work.
         hanging: whether no run makes progress.
+        refused_share: share of the starts that it refuses as unhealthy.
         times_without_lease_s: monotonic times, in seconds, at which `advance`
             found the lease expired.
         runs_by_task: current runs by the name of their task.
@@ -222,6 +234,7 @@
         self.draining = False
         self.failing = False
         self.hanging = False
+        self.refused_share = 0.0
         self._advanced_s = pool.clock()
         self.times_without_lease_s: list[float] = []
         self.runs_by_task: dict[str, Run] = {}
@@ -292,6 +305,8 @@
         """
         if expected_worker and expected_worker != self.worker:
             return self._answer(421)
+        if path == "/v1/run-start" and self._refuses_as_unhealthy():
+            return self._answer(self._pool.rng.choice(UNHEALTHY_STATUSES))
         if int(body.get("fencingToken", 0)) < self._fencing_token:
             return self._answer(409, reason="fence")
         self._fencing_token = int(body.get("fencingToken", 0))
@@ -303,6 +318,11 @@
             return await self._hold(body)
         return self._answer(404)
 
+    def _refuses_as_unhealthy(self) -> bool:
+        return self.refused_share > 0 and (
+            self._pool.rng.random() < self.refused_share
+        )
+
     def _answer(self, status: int, **fields: Any) -> http_client.Answer:
         return http_client.Answer(
             status,
@@ -364,7 +384,7 @@
         )
         run = self.runs_by_task.get(task)
         if run is not None and run.number == number and run.stops_at_s is None:
-            run.stops_at_s = self._pool.clock() + STOP_DURATION_S
+            run.stops_at_s = self._pool.clock() + self._pool.stop_s
         return self._answer(200)
 
     async def _hold(self, body: dict[str, Any]) -> http_client.Answer:
--- a/pimentobridge/testing/platform_servers.py
+++ b/pimentobridge/testing/platform_servers.py
@@ -8,6 +8,7 @@
 
 import argparse
 import dataclasses
+import random
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -19,6 +20,7 @@
 from pimentobridge.daemons import http
 from pimentobridge.daemons import http_server
 from pimentobridge.platform import http_client
+from pimentobridge.testing import order_faults
 from pimentobridge.testing import platform_runner
 from pimentobridge.testing import platform_store
 
@@ -36,6 +38,8 @@
 HEARTBEAT_INTERVAL_S = 0.5
 # Time after which a runner that a task has crashed is back.
 RUNNER_RESTART_S = 1.5
+# Time after which an order that gets no answer is dropped.
+UNANSWERED_S = 10.0
 # Answer on a connection whose process has ended, which is then closed.
 ENDED_STATUS = 500
 OPERATOR_PATH = "/operator/"
@@ -130,10 +134,14 @@
         observer: receives the events of all runners.
         small_workers: how many of the workers, the last ones, have half the
             memory and processors of the others.
+        stop_s: duration of a stop of a run, in seconds.
+        rng: decides which orders are affected by faults.
 
     Attributes:
         store: the fake store.
         cut_off: numbers of the runners that send no heartbeats.
+        order_faults_by_runner: faults of the orders to single runners, by
+            number.
         store_busy: whether the store rejects every call with status 503.
         pool: all runners.
         runners: the current incarnation of each worker's runner.
@@ -146,18 +154,25 @@
         observer: platform_runner.RunObserver,
         *,
         small_workers: int = 0,
+        stop_s: float = platform_runner.STOP_DURATION_S,
+        rng: random.Random | None = None,
     ) -> None:
         self._store_address = store_address
         self._runner_addresses = runner_addresses
         self.store = platform_store.PlatformStore(trio.current_time)
         self.store_busy = False
-        self.pool = platform_runner.RunnerPool(trio.current_time, observer)
+        self._rng = rng or random.Random(0)
+        self.pool = platform_runner.RunnerPool(
+            trio.current_time, observer, stop_s=stop_s, rng=self._rng
+        )
         self._incarnations = 0
         self._small_workers = small_workers
         self.runners = [
             self._new_runner(number) for number in range(len(runner_addresses))
         ]
         self.cut_off: set[int] = set()
+        self.order_faults_by_runner: dict[int, order_faults.OrderFaults] = {}
+        self._late_orders: trio.Nursery | None = None
 
     async def run(self, *, fallback: Handler | None = None) -> None:
         """Serves until cancelled.
@@ -180,6 +195,7 @@
             return await fallback(call)
 
         async with trio.open_nursery() as nursery:
+            self._late_orders = nursery
             nursery.start_soon(self.pool.run)
             nursery.start_soon(_expire_leases, self.store)
             nursery.start_soon(
@@ -233,9 +249,7 @@
             )
             answer = http_client.Answer(ENDED_STATUS, {})
             if runner.up:
-                answer = await runner.handle(
-                    call.path, call.body, call.expected_worker
-                )
+                answer = await self._handle_runner_call(number, runner, call)
             if not runner.up:
                 # The port may be used again by another connection.
                 runners_by_connection.pop(call.connection, None)
@@ -244,6 +258,36 @@
 
         return handle
 
+    async def _handle_runner_call(
+        self,
+        number: int,
+        runner: platform_runner.PlatformRunner,
+        call: Call,
+    ) -> http_client.Answer:
+        faults = self.order_faults_by_runner.get(number)
+        treatment = order_faults.Treatment.ANSWERED
+        if faults is not None:
+            treatment = faults.treatment(call.path, self._rng)
+        if treatment is order_faults.Treatment.LATE:
+            assert self._late_orders is not None
+            self._late_orders.start_soon(self._execute_late, runner, call)
+        else:
+            answer = await runner.handle(
+                call.path, call.body, call.expected_worker
+            )
+            if treatment is order_faults.Treatment.ANSWERED:
+                return answer
+        # The caller gives up before that and closes the connection.
+        await trio.sleep(UNANSWERED_S)
+        return http_client.Answer(ENDED_STATUS, {})
+
+    async def _execute_late(
+        self, runner: platform_runner.PlatformRunner, call: Call
+    ) -> None:
+        await trio.sleep(order_faults.random_lateness_s(self._rng))
+        if runner.up:
+            await runner.handle(call.path, call.body, call.expected_worker)
+
     async def _send_heartbeats(self, number: int) -> None:
         address, control_address = self._runner_addresses[number]
         client = http_client.HttpClient(control_address)
