Take the end of a lease from the validity of the orders

Cause: an agent checks that its orders are valid, and then computes the end of the lease from the present time. A process that is paused between the two lengthened the lease by the pause, as a machine that freezes may do to it. The scheduler counts from the validity of the orders.

Evidence: test_a_pause_does_not_lengthen_the_lease failed before, with a pause of 8 s:

Fix: the end of the lease is computed from the present time or from the end of the orders' validity, whichever is earlier. No cost: orders are valid when a call is made.

--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -350,6 +350,16 @@
         age_s = self._clock.monotonic() - self._answered_s
         return self._answered_s > 0 and age_s < engine.ORDER_VALIDITY_S
 
+    def _lease_until_s(self) -> float:
+        """Returns the end of the longest lease that the orders allow.
+
+        The process may have been paused since it found them valid.
+        """
+        valid_until_s = self._answered_s + engine.ORDER_VALIDITY_S
+        return self._view.lease_until_s(
+            min(self._clock.monotonic(), valid_until_s)
+        )
+
     def _wants_start(
         self, incarnation: runs.IncarnationKey, key: runs.RunKey
     ) -> bool:
@@ -377,9 +387,7 @@
                     incarnation,
                     order,
                     token=token,
-                    lease_until_s=self._view.lease_until_s(
-                        self._clock.monotonic()
-                    ),
+                    lease_until_s=self._lease_until_s(),
                 )
             logs.event(
                 "start ordered",
@@ -506,9 +514,7 @@
             incarnation,
             token=self._token,
             acknowledged_end=self._view.acknowledged_end,
-            lease_until_s=self._view.lease_until_s(self._clock.monotonic())
-            if renew
-            else None,
+            lease_until_s=self._lease_until_s() if renew else None,
             wait_s=wait_s,
         )
         if not self._is_current(incarnation):
