Have a worker's next incarnation refuse the starts that may come late

Cause: a call names only the id of a worker, and a runner that starts again keeps it. Verified connections bind what is sent to a process, but not what is carried out 2 to 12 s later. The next incarnation has seen no fencing token, and the end of the lease in the call lies far ahead of its clock, which begins anew. The scheduler had released the run when it learned of that incarnation, and started it elsewhere.

If the worker starts again under its id, the agent stops these runs on the new incarnation, which refuses them from then on, and waits until none of them is listed. Only then does it report the incarnation, and the scheduler releases the runs of the one before. Until then the scheduler counts the lease.

Cost: none without an unanswered start.

--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -10,6 +10,7 @@
 from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import containment
 from pimentobridge.daemons import document_source
+from pimentobridge.daemons import late_starts
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import report_route
 from pimentobridge.daemons import started_runs
@@ -98,6 +99,7 @@
             on_confirmed=self._on_confirmed,
         )
         self._started_runs = started_runs.StartedRuns()
+        self._late_starts = late_starts.LateStarts()
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
         self._state = runs.AgentState.SERVING
@@ -215,9 +217,43 @@
         self._instructions = None
         self._sequence = heartbeat.sequence
         self._worker = heartbeat.incarnation
+        self._view.may_start_late = self._late_starts.of(
+            key.worker, self._clock.monotonic()
+        )
+        if self._view.may_start_late and self._nursery is not None:
+            self._nursery.start_soon(self._refuse_late_starts, key)
         self._wake_poll.set()
         self._wake_report.set()
 
+    async def _refuse_late_starts(
+        self, incarnation: runs.IncarnationKey
+    ) -> None:
+        """Has an incarnation refuse the starts sent to the one before.
+
+        The scheduler starts these runs elsewhere as soon as it knows of the
+        incarnation, which isn't reported before.
+        """
+        late = self._view.may_start_late
+        while late and self._is_current(incarnation):
+            for run in list(late):
+                with containment.contained("refusing a late start"):
+                    if await self._is_refused_for_good(incarnation, run):
+                        late.discard(run)
+            if late:
+                await trio.sleep(ORDER_RETRY_PAUSE_S)
+        self._wake_report.set()
+
+    async def _is_refused_for_good(
+        self, incarnation: runs.IncarnationKey, run: runs.RunKey
+    ) -> bool:
+        """Has an incarnation refuse a run; returns whether none is there."""
+        return (
+            await self._stop_permanently(incarnation, run)
+            and await self._poll(0.0)
+            and self._is_current(incarnation)
+            and not self._view.is_running(run)
+        )
+
     def _note_end_of_incarnation(self) -> None:
         if self._worker is not None:
             self._started_runs.on_ended(
@@ -382,6 +418,9 @@
                 await trio.sleep(ORDER_RETRY_PAUSE_S)
                 continue
             token = self._token
+            sent = self._late_starts.add(
+                incarnation.worker, order.key, self._clock.monotonic()
+            )
             with self._view.contact.start_under_way():
                 outcome = await self._runner.start(
                     incarnation,
@@ -389,6 +428,8 @@
                     token=token,
                     lease_until_s=self._lease_until_s(),
                 )
+            if outcome is not runner_lib.StartResult.UNKNOWN:
+                self._late_starts.remove(sent)
             logs.event(
                 "start ordered",
                 task=order.key.task,
@@ -572,7 +613,11 @@
 
     def _report(self) -> None:
         observation = None
-        if self._worker is not None and self._view.has_polled:
+        if (
+            self._worker is not None
+            and self._view.has_polled
+            and not self._view.may_start_late
+        ):
             observation = self._view.observation(
                 self._worker,
                 crashes=self._started_runs.crashes,
--- a/pimentobridge/daemons/worker_view.py
+++ b/pimentobridge/daemons/worker_view.py
@@ -25,6 +25,8 @@
         running: runs that it listed last as running.
         ended: ends that it listed last and the scheduler hasn't acknowledged.
         refused: runs that it will never start.
+        may_start_late: runs of the incarnation before that it may start or be
+            stopping; nothing is reported of it before there are none.
         stop_confirmed: runs that it has stopped and will never start.
         orders_in_progress: kind and run of the orders being carried out.
         acknowledged_end: number up to which the scheduler has acknowledged the
@@ -39,6 +41,7 @@
         self.running: tuple[runs.RunningTask, ...] = ()
         self.ended: tuple[runs.EndedRun, ...] = ()
         self.refused: set[runs.RunKey] = set()
+        self.may_start_late: set[runs.RunKey] = set()
         self.stop_confirmed: set[runs.RunKey] = set()
         self.orders_in_progress: set[tuple[str, runs.RunKey]] = set()
         self.acknowledged_end = 0
@@ -70,6 +73,10 @@
         self.refused &= ordered
         self.stop_confirmed &= ordered
 
+    def is_running(self, run: runs.RunKey) -> bool:
+        """Whether the newest list shows a run."""
+        return any(task.key == run for task in self.running)
+
     def is_outdated(self, status: runner_status.RunnerStatus) -> bool:
         """Whether a newer answer has arrived before this one."""
         return status.clock_s < self._clock_s
