Split the carrying out of orders from the agent

Carrying out starts and stops, and what their answers mean, is one concept (run_orders); the agent is what it is carried out for. The set of orders under way is bound to the incarnation at which an order was given, no longer to the one at which its task begins.

No other change of behaviour. The tests that reach into the agent use the names that are public now; their checks are the same.

--- /dev/null
+++ b/pimentobridge/daemons/run_orders.py
@@ -0,0 +1,265 @@
+"""Carries out the scheduler's orders to start and to stop runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import trio
+
+from pimentobridge.daemons import containment
+from pimentobridge.daemons import late_starts
+from pimentobridge.daemons import logs
+from pimentobridge.platform import runner as runner_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core.jobs import runs
+    from pimentobridge.daemons import started_runs
+    from pimentobridge.daemons import worker_view
+
+ORDER_RETRY_PAUSE_S = 0.1
+
+
+class Agent(Protocol):
+    """What orders are carried out for: an agent and its present worker.
+
+    Attributes:
+        token: highest fencing token in the orders so far.
+        worker: what the worker says of itself; None while it isn't known.
+        view: what is known of the present incarnation of the worker.
+    """
+
+    token: int
+    worker: runs.WorkerIncarnation | None
+    view: worker_view.WorkerView
+
+    def may_act(self) -> bool:
+        """Whether the newest orders are still valid."""
+
+    def is_current(self, incarnation: runs.IncarnationKey) -> bool:
+        """Whether an incarnation of the worker is the present one."""
+
+    def wants_start(
+        self, incarnation: runs.IncarnationKey, key: runs.RunKey
+    ) -> bool:
+        """Whether valid orders ask an incarnation to start a run."""
+
+    def lease_until_s(self) -> float:
+        """Returns the end of the longest lease that the orders allow."""
+
+    async def poll(self, wait_s: float) -> bool:
+        """Gets the runs from the worker; returns whether it answered."""
+
+    def wake_report(self) -> None:
+        """Has a report sent at once."""
+
+    def wake_poll(self) -> None:
+        """Has the worker polled at once."""
+
+
+class RunOrders:
+    """Carries out orders, and finds out what has become of them.
+
+    Args:
+        agent: the agent that has got the orders.
+        runner: client of the worker's interface.
+        clock: source of time.
+        started: the runs that the worker has started.
+    """
+
+    def __init__(
+        self,
+        agent: Agent,
+        *,
+        runner: runner_lib.Runner,
+        clock: clock_lib.Clock,
+        started: started_runs.StartedRuns,
+    ) -> None:
+        self._agent = agent
+        self._runner = runner
+        self._clock = clock
+        self._started_runs = started
+        self._late_starts = late_starts.LateStarts()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Carries out orders in the background until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            await trio.sleep_forever()
+
+    def act_on(self, instructions: runs.Instructions) -> None:
+        """Carries out the newest orders for the present incarnation."""
+        ordered = {order.key for order in instructions.starts}
+        ordered |= set(instructions.stops)
+        self._agent.view.keep_answers_to(ordered)
+        for order in instructions.starts:
+            if order.key not in self._agent.view.refused:
+                self._spawn_order("start", order.key, self._start_run, order)
+        for key in instructions.stops:
+            if key not in self._agent.view.stop_confirmed:
+                self._spawn_order("stop", key, self._stop_run, key)
+
+    def _spawn_order(
+        self,
+        kind: str,
+        key: runs.RunKey,
+        handler: Callable[..., Awaitable[object]],
+        argument: object,
+    ) -> None:
+        """Carries out an order in the background, unless that is under way."""
+        order_id = (kind, key)
+        in_progress = self._agent.view.orders_in_progress
+        if order_id in in_progress or self._nursery is None:
+            return
+        in_progress.add(order_id)
+
+        async def carry_out() -> None:
+            try:
+                await containment.run_contained(
+                    f"carrying out a {kind}", handler, argument
+                )
+            finally:
+                in_progress.discard(order_id)
+
+        self._nursery.start_soon(carry_out)
+
+    async def _start_run(self, order: runs.StartOrder) -> None:
+        if self._agent.worker is None:
+            return
+        incarnation = self._agent.worker.key
+        while self._agent.wants_start(incarnation, order.key):
+            if order.key in self._started_runs.started:
+                return
+            if not self._agent.view.has_polled:
+                await trio.sleep(ORDER_RETRY_PAUSE_S)
+                continue
+            token = self._agent.token
+            sent = self._late_starts.add(
+                incarnation.worker, order.key, self._clock.monotonic()
+            )
+            with self._agent.view.contact.start_under_way():
+                outcome = await self._runner.start(
+                    incarnation,
+                    order,
+                    token=token,
+                    lease_until_s=self._agent.lease_until_s(),
+                )
+            if outcome is not runner_lib.StartResult.UNKNOWN:
+                self._late_starts.remove(sent)
+            logs.event(
+                "start ordered",
+                task=order.key.task,
+                run=order.key.run,
+                worker=incarnation.worker,
+                born_ms=incarnation.started_ms,
+                token=token,
+                outcome=outcome.value,
+            )
+            if not self._agent.is_current(incarnation):
+                return
+            if outcome is not runner_lib.StartResult.UNREACHABLE:
+                self._agent.view.contact.on_possible_arrival()
+            if outcome is runner_lib.StartResult.UNKNOWN:
+                self._started_runs.on_unanswered(order.key)
+            if outcome is runner_lib.StartResult.RUNNING:
+                self._started_runs.on_started(order.key)
+                self._agent.wake_poll()
+                return
+            if outcome is runner_lib.StartResult.RUN_ENDED:
+                await self._report_refusal(incarnation, order.key)
+                return
+            if outcome in runner_lib.REFUSALS:
+                # An earlier start without an answer may still take effect. A
+                # stop makes the worker refuse the run from then on.
+                if await self._stop_permanently(incarnation, order.key):
+                    await self._report_refusal(incarnation, order.key)
+                return
+            await trio.sleep(ORDER_RETRY_PAUSE_S)
+
+    async def _report_refusal(
+        self, incarnation: runs.IncarnationKey, key: runs.RunKey
+    ) -> None:
+        """Reports a refusal, after a poll for the run's end if it has ended."""
+        if await self._agent.poll(0.0) and self._agent.is_current(incarnation):
+            self._agent.view.refused.add(key)
+            self._agent.wake_report()
+
+    async def _stop_run(self, key: runs.RunKey) -> None:
+        if self._agent.worker is None:
+            return
+        incarnation = self._agent.worker.key
+        if not await self._stop_permanently(incarnation, key):
+            return
+        self._started_runs.on_over([key])
+        if await self._agent.poll(0.0) and self._agent.is_current(incarnation):
+            self._agent.view.stop_confirmed.add(key)
+            self._agent.wake_report()
+
+    async def _stop_permanently(
+        self, incarnation: runs.IncarnationKey, key: runs.RunKey
+    ) -> bool:
+        """Orders a stop, after which the worker never starts the run again.
+
+        Returns:
+            Whether the worker confirmed the stop.
+        """
+        while self._agent.is_current(incarnation) and self._agent.may_act():
+            token = self._agent.token
+            outcome = await self._runner.stop(incarnation, key, token=token)
+            logs.event(
+                "stop ordered",
+                task=key.task,
+                run=key.run,
+                worker=incarnation.worker,
+                born_ms=incarnation.started_ms,
+                token=token,
+                outcome=outcome.value,
+            )
+            if outcome is runner_lib.StopResult.STOPPED:
+                return True
+            if outcome is not runner_lib.StopResult.UNKNOWN:
+                return False
+            await trio.sleep(ORDER_RETRY_PAUSE_S)
+        return False
+
+    def start_refusing_late_starts(
+        self, incarnation: runs.IncarnationKey
+    ) -> None:
+        """Has a new incarnation refuse the starts sent to the one before."""
+        late = self._late_starts.of(incarnation.worker, self._clock.monotonic())
+        self._agent.view.may_start_late = late
+        if late and self._nursery is not None:
+            self._nursery.start_soon(self._refuse_late_starts, incarnation)
+
+    async def _refuse_late_starts(
+        self, incarnation: runs.IncarnationKey
+    ) -> None:
+        """Has an incarnation refuse the starts sent to the one before.
+
+        The scheduler starts these runs elsewhere as soon as it knows of the
+        incarnation, which isn't reported before.
+        """
+        late = self._agent.view.may_start_late
+        while late and self._agent.is_current(incarnation):
+            for run in list(late):
+                with containment.contained("refusing a late start"):
+                    if await self._is_refused_for_good(incarnation, run):
+                        late.discard(run)
+            if late:
+                await trio.sleep(ORDER_RETRY_PAUSE_S)
+        self._agent.wake_report()
+
+    async def _is_refused_for_good(
+        self, incarnation: runs.IncarnationKey, run: runs.RunKey
+    ) -> bool:
+        """Has an incarnation refuse a run; returns whether none is there."""
+        return (
+            await self._stop_permanently(incarnation, run)
+            and await self._agent.poll(0.0)
+            and self._agent.is_current(incarnation)
+            and not self._agent.view.is_running(run)
+        )
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -10,9 +10,9 @@
 from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import containment
 from pimentobridge.daemons import document_source
-from pimentobridge.daemons import late_starts
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import report_route
+from pimentobridge.daemons import run_orders
 from pimentobridge.daemons import started_runs
 from pimentobridge.daemons import worker_announcements
 from pimentobridge.daemons import worker_contact
@@ -24,9 +24,6 @@
 from pimentobridge.protocol import documents
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-    from collections.abc import Callable
-
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
     from pimentobridge.platform import boot_settings
@@ -36,7 +33,6 @@
 
 REPORT_INTERVAL_S = 0.5
 POLL_WAIT_S = 0.5
-ORDER_RETRY_PAUSE_S = 0.1
 FINISH_CHECK_INTERVAL_S = 0.05
 
 
@@ -54,6 +50,11 @@
         entries: addresses of entries, which forward reports to the scheduler;
             orders replace them.
         nonce: unique to this process.
+
+    Attributes:
+        token: highest fencing token in the orders so far.
+        worker: what the worker says of itself; None while it isn't known.
+        view: what is known of the present incarnation of the worker.
     """
 
     def __init__(
@@ -81,29 +82,29 @@
             endpoint=endpoint,
             clock=clock,
         )
-        self._nursery: trio.Nursery | None = None
-        self._wake_report = trio.Event()
-        self._wake_poll = trio.Event()
-        # Highest fencing token in the orders so far.
-        self._token = 0
+        self._report_needed = trio.Event()
+        self._poll_needed = trio.Event()
+        self.token = 0
         # Sending time of the newest report that orders answered; 0 for none.
         self._answered_s = 0.0
         self._instructions: runs.Instructions | None = None
         # When a worker was last found to have ended; 0 if never. Orders that
         # answer an earlier report may name runs that have moved since.
         self._end_found_s = 0.0
-        self._worker: runs.WorkerIncarnation | None = None
+        self.worker: runs.WorkerIncarnation | None = None
         self._announcements = worker_announcements.WorkerAnnouncements(
             runner=runner,
-            token=lambda: self._token,
+            token=lambda: self.token,
             on_confirmed=self._on_confirmed,
         )
         self._started_runs = started_runs.StartedRuns()
-        self._late_starts = late_starts.LateStarts()
+        self._orders = run_orders.RunOrders(
+            self, runner=runner, clock=clock, started=self._started_runs
+        )
         # Sequence number of the worker's newest heartbeat.
         self._sequence = 0
         self._state = runs.AgentState.SERVING
-        self._view = self._new_view()
+        self.view = self._new_view()
 
     def _new_view(self) -> worker_view.WorkerView:
         return worker_view.WorkerView(self._settings.max_lease_s)
@@ -111,7 +112,7 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+            nursery.start_soon(self._orders.run)
             nursery.start_soon(self._receive_messages)
             nursery.start_soon(self._configuration_source.run)
             nursery.start_soon(self._report_forever)
@@ -120,15 +121,15 @@
 
     def gauges(self) -> dict[str, float]:
         """Returns this agent's gauges by metric name."""
-        worker = self._worker
+        worker = self.worker
         return {
             "worker_known": float(worker is not None),
             "worker_draining": float(worker is not None and worker.draining),
-            "may_act": float(self._may_act()),
+            "may_act": float(self.may_act()),
             "orders_age_seconds": self._clock.monotonic() - self._answered_s,
-            "running_tasks": len(self._view.running),
+            "running_tasks": len(self.view.running),
             "supplies_configuration": float(self.supplies_configuration),
-            "unrecorded_ends": len(self._view.ended),
+            "unrecorded_ends": len(self.view.ended),
             "log_lines_left_out_total": logs.dropped_lines(),
         }
 
@@ -144,7 +145,7 @@
         configuration from another source.
         """
         self._state = runs.AgentState.STOPPING
-        self._wake_report.set()
+        self.wake_report()
         self._configuration_source.server.announce_shutdown()
 
     async def finish_runs(self, timeout_s: float) -> None:
@@ -158,11 +159,11 @@
             timeout_s: longest wait, in seconds.
         """
         until_s = self._clock.monotonic() + timeout_s
-        while self._may_act() and self._clock.monotonic() < until_s:
-            about_to_end = self._view.expected_ends.any_by(
+        while self.may_act() and self._clock.monotonic() < until_s:
+            about_to_end = self.view.expected_ends.any_by(
                 until_s, self._clock.monotonic()
             )
-            if not about_to_end and not self._view.has_unacknowledged_ends:
+            if not about_to_end and not self.view.has_unacknowledged_ends:
                 return
             await trio.sleep(FINISH_CHECK_INTERVAL_S)
 
@@ -174,7 +175,7 @@
         One that names another incarnation than the present one changes nothing
         until the runner has confirmed that it is that incarnation.
         """
-        current = self._worker
+        current = self.worker
         key = heartbeat.incarnation.key
         if current is not None and key == current.key:
             self._update_worker(current, heartbeat)
@@ -196,9 +197,9 @@
             return
         self._sequence = heartbeat.sequence
         if heartbeat.incarnation != current:
-            self._worker = heartbeat.incarnation
-            self._wake_poll.set()
-            self._wake_report.set()
+            self.worker = heartbeat.incarnation
+            self.wake_poll()
+            self.wake_report()
 
     def _on_confirmed(self, heartbeat: heartbeats.Heartbeat) -> None:
         """Takes an incarnation that the runner has confirmed for its own.
@@ -207,7 +208,7 @@
         latest that it has confirmed is the present one. The time of day at
         which it started may be earlier than that of the one before.
         """
-        current = self._worker
+        current = self.worker
         key = heartbeat.incarnation.key
         logs.event(
             "worker announced",
@@ -216,55 +217,22 @@
             earlier=current.key.worker if current else None,
         )
         self._note_end_of_incarnation()
-        self._view = self._new_view()
+        self.view = self._new_view()
         self._instructions = None
         self._sequence = heartbeat.sequence
-        self._worker = heartbeat.incarnation
-        self._view.may_start_late = self._late_starts.of(
-            key.worker, self._clock.monotonic()
-        )
-        if self._view.may_start_late and self._nursery is not None:
-            self._nursery.start_soon(self._refuse_late_starts, key)
-        self._wake_poll.set()
-        self._wake_report.set()
-
-    async def _refuse_late_starts(
-        self, incarnation: runs.IncarnationKey
-    ) -> None:
-        """Has an incarnation refuse the starts sent to the one before.
-
-        The scheduler starts these runs elsewhere as soon as it knows of the
-        incarnation, which isn't reported before.
-        """
-        late = self._view.may_start_late
-        while late and self._is_current(incarnation):
-            for run in list(late):
-                with containment.contained("refusing a late start"):
-                    if await self._is_refused_for_good(incarnation, run):
-                        late.discard(run)
-            if late:
-                await trio.sleep(ORDER_RETRY_PAUSE_S)
-        self._wake_report.set()
-
-    async def _is_refused_for_good(
-        self, incarnation: runs.IncarnationKey, run: runs.RunKey
-    ) -> bool:
-        """Has an incarnation refuse a run; returns whether none is there."""
-        return (
-            await self._stop_permanently(incarnation, run)
-            and await self._poll(0.0)
-            and self._is_current(incarnation)
-            and not self._view.is_running(run)
-        )
+        self.worker = heartbeat.incarnation
+        self._orders.start_refusing_late_starts(key)
+        self.wake_poll()
+        self.wake_report()
 
     def _note_end_of_incarnation(self) -> None:
-        if self._worker is not None:
+        if self.worker is not None:
             self._started_runs.on_ended(
-                self._worker.key,
-                (task.key for task in self._view.running),
-                crashed=not self._worker.draining
-                and not self._view.contact.deregistered
-                and not self._view.contact.silent,
+                self.worker.key,
+                (task.key for task in self.view.running),
+                crashed=not self.worker.draining
+                and not self.view.contact.deregistered
+                and not self.view.contact.silent,
             )
 
     def on_deregistered(self, worker: str) -> None:
@@ -273,10 +241,10 @@
         A deregistration names no incarnation and may be late or another
         writer's. It counts only if the worker has said before that it drains.
         """
-        current = self._worker
+        current = self.worker
         if current is None or current.key.worker != worker:
             return
-        self._view.contact.deregistered = current.draining
+        self.view.contact.deregistered = current.draining
         logs.event(
             "worker deregistered",
             worker=worker,
@@ -304,22 +272,22 @@
             self._configuration_source.server.on_query(envelope.sender, message)
 
     def _on_orders(self, orders: control.WorkerOrders) -> None:
-        if orders.token < self._token:
+        if orders.token < self.token:
             return
-        if orders.token > self._token:
+        if orders.token > self.token:
             logs.event(
                 "scheduler known",
                 scheduler=orders.scheduler,
                 token=orders.token,
             )
-            self._token = orders.token
+            self.token = orders.token
             self._instructions = None
             self._answered_s = 0.0
-            self._wake_poll.set()
-            self._wake_report.set()
+            self.wake_poll()
+            self.wake_report()
         if self._reports.scheduler != orders.scheduler:
             self._reports.scheduler = orders.scheduler
-            self._wake_report.set()
+            self.wake_report()
         if orders.entries:
             self._reports.entries = orders.entries
         if orders.echo_s and orders.process != self._process:
@@ -327,59 +295,24 @@
             return
         if orders.echo_s < self._answered_s or orders.echo_s == 0.0:
             if orders.echo_s == 0.0:
-                self._wake_report.set()
+                self.wake_report()
             return
         self._answered_s = orders.echo_s
         instructions = orders.worker
-        if instructions is None or not self._may_act():
+        if instructions is None or not self.may_act():
             return
         if (
-            not self._is_current(instructions.incarnation)
+            not self.is_current(instructions.incarnation)
             or orders.echo_s <= self._end_found_s
         ):
             return
         self._instructions = instructions
-        if instructions.acknowledged_end > self._view.acknowledged_end:
-            self._view.acknowledged_end = instructions.acknowledged_end
-            self._wake_poll.set()
-        self._act_on(instructions)
-
-    def _act_on(self, instructions: runs.Instructions) -> None:
-        ordered = {order.key for order in instructions.starts}
-        ordered |= set(instructions.stops)
-        self._view.keep_answers_to(ordered)
-        for order in instructions.starts:
-            if order.key not in self._view.refused:
-                self._spawn_order("start", order.key, self._start_run, order)
-        for key in instructions.stops:
-            if key not in self._view.stop_confirmed:
-                self._spawn_order("stop", key, self._stop_run, key)
-
-    def _spawn_order(
-        self,
-        kind: str,
-        key: runs.RunKey,
-        handler: Callable[..., Awaitable[object]],
-        argument: object,
-    ) -> None:
-        """Carries out an order in the background, unless that is under way."""
-        order_id = (kind, key)
-        if order_id in self._view.orders_in_progress or self._nursery is None:
-            return
-        self._view.orders_in_progress.add(order_id)
-
-        async def carry_out() -> None:
-            in_progress = self._view.orders_in_progress
-            try:
-                await containment.run_contained(
-                    f"carrying out a {kind}", handler, argument
-                )
-            finally:
-                in_progress.discard(order_id)
-
-        self._nursery.start_soon(carry_out)
+        if instructions.acknowledged_end > self.view.acknowledged_end:
+            self.view.acknowledged_end = instructions.acknowledged_end
+            self.wake_poll()
+        self._orders.act_on(instructions)
 
-    def _may_act(self) -> bool:
+    def may_act(self) -> bool:
         """Whether the newest orders are still valid.
 
         Their age counts from the report that they answer.
@@ -389,128 +322,39 @@
         age_s = self._clock.monotonic() - self._answered_s
         return self._answered_s > 0 and age_s < engine.ORDER_VALIDITY_S
 
-    def _lease_until_s(self) -> float:
+    def lease_until_s(self) -> float:
         """Returns the end of the longest lease that the orders allow.
 
         The process may have been paused since it found them valid.
         """
         valid_until_s = self._answered_s + engine.ORDER_VALIDITY_S
-        return self._view.lease_until_s(
+        return self.view.lease_until_s(
             min(self._clock.monotonic(), valid_until_s)
         )
 
-    def _wants_start(
+    def wants_start(
         self, incarnation: runs.IncarnationKey, key: runs.RunKey
     ) -> bool:
+        """Whether valid orders ask an incarnation to start a run."""
         return (
-            self._may_act()
-            and self._is_current(incarnation)
-            and not self._view.contact.presumed_ended
+            self.may_act()
+            and self.is_current(incarnation)
+            and not self.view.contact.presumed_ended
             and self._instructions is not None
             and any(order.key == key for order in self._instructions.starts)
         )
 
-    async def _start_run(self, order: runs.StartOrder) -> None:
-        if self._worker is None:
-            return
-        incarnation = self._worker.key
-        while self._wants_start(incarnation, order.key):
-            if order.key in self._started_runs.started:
-                return
-            if not self._view.has_polled:
-                await trio.sleep(ORDER_RETRY_PAUSE_S)
-                continue
-            token = self._token
-            sent = self._late_starts.add(
-                incarnation.worker, order.key, self._clock.monotonic()
-            )
-            with self._view.contact.start_under_way():
-                outcome = await self._runner.start(
-                    incarnation,
-                    order,
-                    token=token,
-                    lease_until_s=self._lease_until_s(),
-                )
-            if outcome is not runner_lib.StartResult.UNKNOWN:
-                self._late_starts.remove(sent)
-            logs.event(
-                "start ordered",
-                task=order.key.task,
-                run=order.key.run,
-                worker=incarnation.worker,
-                born_ms=incarnation.started_ms,
-                token=token,
-                outcome=outcome.value,
-            )
-            if not self._is_current(incarnation):
-                return
-            if outcome is not runner_lib.StartResult.UNREACHABLE:
-                self._view.contact.on_possible_arrival()
-            if outcome is runner_lib.StartResult.UNKNOWN:
-                self._started_runs.on_unanswered(order.key)
-            if outcome is runner_lib.StartResult.RUNNING:
-                self._started_runs.on_started(order.key)
-                self._wake_poll.set()
-                return
-            if outcome is runner_lib.StartResult.RUN_ENDED:
-                await self._report_refusal(incarnation, order.key)
-                return
-            if outcome in runner_lib.REFUSALS:
-                # An earlier start without an answer may still take effect. A
-                # stop makes the worker refuse the run from then on.
-                if await self._stop_permanently(incarnation, order.key):
-                    await self._report_refusal(incarnation, order.key)
-                return
-            await trio.sleep(ORDER_RETRY_PAUSE_S)
-
-    async def _report_refusal(
-        self, incarnation: runs.IncarnationKey, key: runs.RunKey
-    ) -> None:
-        """Reports a refusal, after a poll for the run's end if it has ended."""
-        if await self._poll(0.0) and self._is_current(incarnation):
-            self._view.refused.add(key)
-            self._wake_report.set()
+    def is_current(self, incarnation: runs.IncarnationKey) -> bool:
+        """Whether an incarnation of the worker is the present one."""
+        return self.worker is not None and self.worker.key == incarnation
 
-    async def _stop_run(self, key: runs.RunKey) -> None:
-        if self._worker is None:
-            return
-        incarnation = self._worker.key
-        if not await self._stop_permanently(incarnation, key):
-            return
-        self._started_runs.on_over([key])
-        if await self._poll(0.0) and self._is_current(incarnation):
-            self._view.stop_confirmed.add(key)
-            self._wake_report.set()
-
-    async def _stop_permanently(
-        self, incarnation: runs.IncarnationKey, key: runs.RunKey
-    ) -> bool:
-        """Orders a stop, after which the worker never starts the run again.
-
-        Returns:
-            Whether the worker confirmed the stop.
-        """
-        while self._is_current(incarnation) and self._may_act():
-            token = self._token
-            outcome = await self._runner.stop(incarnation, key, token=token)
-            logs.event(
-                "stop ordered",
-                task=key.task,
-                run=key.run,
-                worker=incarnation.worker,
-                born_ms=incarnation.started_ms,
-                token=token,
-                outcome=outcome.value,
-            )
-            if outcome is runner_lib.StopResult.STOPPED:
-                return True
-            if outcome is not runner_lib.StopResult.UNKNOWN:
-                return False
-            await trio.sleep(ORDER_RETRY_PAUSE_S)
-        return False
+    def wake_report(self) -> None:
+        """Has a report sent at once."""
+        self._report_needed.set()
 
-    def _is_current(self, incarnation: runs.IncarnationKey) -> bool:
-        return self._worker is not None and self._worker.key == incarnation
+    def wake_poll(self) -> None:
+        """Has the worker polled at once."""
+        self._poll_needed.set()
 
     # Polls of the worker, and its lease.
 
@@ -523,14 +367,14 @@
 
     async def _poll_and_wait(self) -> None:
         """Polls the worker, if it is known, and waits until the next poll."""
-        if self._worker is None:
+        if self.worker is None:
             await self._wait_for_poll(POLL_WAIT_S)
             return
-        unacknowledged = self._view.has_unacknowledged_ends
+        unacknowledged = self.view.has_unacknowledged_ends
         wait_s = (
-            0.0 if unacknowledged or not self._view.has_polled else POLL_WAIT_S
+            0.0 if unacknowledged or not self.view.has_polled else POLL_WAIT_S
         )
-        if not await self._poll(wait_s):
+        if not await self.poll(wait_s):
             await trio.sleep(worker_contact.POLL_RETRY_PAUSE_S)
             self._detect_end()
         elif unacknowledged:
@@ -538,10 +382,10 @@
 
     async def _wait_for_poll(self, timeout_s: float) -> None:
         with trio.move_on_after(timeout_s):
-            await self._wake_poll.wait()
-        self._wake_poll = trio.Event()
+            await self._poll_needed.wait()
+        self._poll_needed = trio.Event()
 
-    async def _poll(self, wait_s: float) -> bool:
+    async def poll(self, wait_s: float) -> bool:
         """Gets the runs from the worker, and renews its lease if allowed.
 
         Args:
@@ -550,25 +394,25 @@
         Returns:
             Whether the current incarnation of the worker answered.
         """
-        if self._worker is None:
+        if self.worker is None:
             return False
-        incarnation = self._worker.key
-        renew = self._may_act() and self._view.has_polled
+        incarnation = self.worker.key
+        renew = self.may_act() and self.view.has_polled
         response = await self._runner.poll(
             incarnation,
-            token=self._token,
-            acknowledged_end=self._view.acknowledged_end,
-            lease_until_s=self._lease_until_s() if renew else None,
+            token=self.token,
+            acknowledged_end=self.view.acknowledged_end,
+            lease_until_s=self.lease_until_s() if renew else None,
             wait_s=wait_s,
         )
-        if not self._is_current(incarnation):
+        if not self.is_current(incarnation):
             return False
         refused = response is runner_status.PollFailure.REFUSED
         unreachable = response is runner_status.PollFailure.UNREACHABLE
         if not refused and not unreachable:
-            self._view.contact.on_possible_arrival()
+            self.view.contact.on_possible_arrival()
         if response is runner_status.PollFailure.TIMED_OUT:
-            self._view.contact.on_timeout()
+            self.view.contact.on_timeout()
         if isinstance(response, runner_status.PollFailure):
             logs.event(
                 "look failed",
@@ -577,33 +421,33 @@
                 why=response.value,
             )
             if (refused or unreachable) and (
-                self._view.contact.on_unreachable(refused=refused)
+                self.view.contact.on_unreachable(refused=refused)
             ):
-                self._wake_report.set()
+                self.wake_report()
             return False
-        if self._view.is_outdated(response):
+        if self.view.is_outdated(response):
             return True
         self._apply_status(response)
         return True
 
     def _detect_end(self) -> None:
         """Reports the worker as ended once its lease must be over."""
-        if self._worker is None or not self._view.contact.on_retry_pause():
+        if self.worker is None or not self.view.contact.on_retry_pause():
             return
         logs.event(
             "worker gone",
-            worker=self._worker.key.worker,
-            unreachable_polls=self._view.contact.unreachable_polls,
+            worker=self.worker.key.worker,
+            unreachable_polls=self.view.contact.unreachable_polls,
         )
         self._instructions = None
         self._end_found_s = self._clock.monotonic()
         self._note_end_of_incarnation()
-        self._wake_report.set()
+        self.wake_report()
 
     def _apply_status(self, status: runner_status.RunnerStatus) -> None:
         self._started_runs.on_over(end.key for end in status.ended)
-        if self._view.apply(status, self._clock.monotonic()):
-            self._wake_report.set()
+        if self.view.apply(status, self._clock.monotonic()):
+            self.wake_report()
 
     # Reports to the scheduler.
 
@@ -611,18 +455,18 @@
         while True:
             self._report()
             with trio.move_on_after(REPORT_INTERVAL_S):
-                await self._wake_report.wait()
-            self._wake_report = trio.Event()
+                await self._report_needed.wait()
+            self._report_needed = trio.Event()
 
     def _report(self) -> None:
         observation = None
         if (
-            self._worker is not None
-            and self._view.has_polled
-            and not self._view.may_start_late
+            self.worker is not None
+            and self.view.has_polled
+            and not self.view.may_start_late
         ):
-            observation = self._view.observation(
-                self._worker,
+            observation = self.view.observation(
+                self.worker,
                 crashes=self._started_runs.crashes,
                 agent_state=self._state,
             )
@@ -630,7 +474,7 @@
         report = control.WorkerReport(
             agent=self._endpoint.address,
             process=self._process,
-            token=self._token,
+            token=self.token,
             sent_s=now_s,
             answered_s=self._answered_s,
             worker=observation,
@@ -639,7 +483,7 @@
 
     async def leave(self) -> None:
         """Renews the lease to its maximum for the last time, and says so."""
-        if self._worker is not None and self._may_act():
-            await self._poll(0.0)
+        if self.worker is not None and self.may_act():
+            await self.poll(0.0)
         self._state = runs.AgentState.STOPPED
         self._report()
--- a/tests/test_lease_bound.py
+++ b/tests/test_lease_bound.py
@@ -61,7 +61,7 @@
         agent = host.agent
         assert agent is not None
         clock = agent._clock  # noqa: SLF001
-        may_act = worker_agent.WorkerAgent._may_act  # noqa: SLF001
+        may_act = worker_agent.WorkerAgent.may_act
         offset_s = 0.0
 
         class PausingClock:
@@ -84,11 +84,11 @@
             return runner_status.PollFailure.TIMED_OUT
 
         monkeypatch.setattr(agent, "_clock", PausingClock())
-        monkeypatch.setattr(worker_agent.WorkerAgent, "_may_act", pause_after)
+        monkeypatch.setattr(worker_agent.WorkerAgent, "may_act", pause_after)
         monkeypatch.setattr(agent._runner, "poll", poll)  # noqa: SLF001
         worker_clock_s = host.runner.clock_s
         answered_ago_s = clock.monotonic() - agent._answered_s  # noqa: SLF001
-        await agent._poll(0.0)  # noqa: SLF001
+        await agent.poll(0.0)
         nursery.cancel_scope.cancel()
     longest_s = (
         worker_clock_s
--- a/tests/test_order_after_end.py
+++ b/tests/test_order_after_end.py
@@ -58,7 +58,7 @@
             assert agent is not None
             while not (
                 world.checker.started
-                or (heals_after == "end found" and agent._view.contact.ended)  # noqa: SLF001
+                or (heals_after == "end found" and agent.view.contact.ended)
             ):
                 await trio.sleep(0.01)
             outages.clear()
@@ -72,7 +72,7 @@
 def _host_of_start(world: world_lib.World) -> machines.WorkerHost:
     """Returns the machine whose agent was ordered to start a run."""
     for host in world.workers:
-        if host.agent is not None and host.agent._view.orders_in_progress:  # noqa: SLF001
+        if host.agent is not None and host.agent.view.orders_in_progress:
             return host
     raise AssertionError("no start was ordered")
 
