Order a worker's answers of one millisecond by their polls

Cause: an agent's polls overlap, and their answers overtake each other. They were ordered by the worker's clock alone, in whole milliseconds, so that an answer to an earlier poll replaced one of the same millisecond to a later poll. The list behind a confirmed stop or a refusal could thus be of before the stop.

Fix: of two answers at the same time, the one to the later poll counts. It shows all that was done before that poll, such as the stop that it follows.

--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -398,6 +398,7 @@
             return False
         incarnation = self.worker.key
         renew = self.may_act() and self.view.has_polled
+        sent_s = self._clock.monotonic()
         response = await self._runner.poll(
             incarnation,
             token=self.token,
@@ -425,9 +426,9 @@
             ):
                 self.wake_report()
             return False
-        if self.view.is_outdated(response):
+        if self.view.is_outdated(response, sent_s=sent_s):
             return True
-        self._apply_status(response)
+        self._apply_status(response, sent_s)
         return True
 
     def _detect_end(self) -> None:
@@ -444,9 +445,11 @@
         self._note_end_of_incarnation()
         self.wake_report()
 
-    def _apply_status(self, status: runner_status.RunnerStatus) -> None:
+    def _apply_status(
+        self, status: runner_status.RunnerStatus, sent_s: float
+    ) -> None:
         self._started_runs.on_over(end.key for end in status.ended)
-        if self.view.apply(status, self._clock.monotonic()):
+        if self.view.apply(status, self._clock.monotonic(), sent_s=sent_s):
             self.wake_report()
 
     # Reports to the scheduler.
--- a/pimentobridge/daemons/worker_view.py
+++ b/pimentobridge/daemons/worker_view.py
@@ -52,6 +52,8 @@
         # when the answer arrived.
         self._clock_s = 0.0
         self._clock_read_s = 0.0
+        # When the poll with the newest answer was sent.
+        self._sent_s = 0.0
 
     def lease_until_s(self, now_s: float) -> float:
         """Returns the end of the longest lease, on the worker's clock.
@@ -77,17 +79,39 @@
         """Whether the newest list shows a run."""
         return any(task.key == run for task in self.running)
 
-    def is_outdated(self, status: runner_status.RunnerStatus) -> bool:
-        """Whether a newer answer has arrived before this one."""
-        return status.clock_s < self._clock_s
+    def is_outdated(
+        self, status: runner_status.RunnerStatus, *, sent_s: float
+    ) -> bool:
+        """Whether a newer answer has arrived before this one.
 
-    def apply(self, status: runner_status.RunnerStatus, now_s: float) -> bool:
+        Of two answers at the same time on the worker's clock, the one to the
+        later poll counts as newer. It shows all that was done before that poll.
+
+        Args:
+            status: the answer.
+            sent_s: monotonic time at which the poll was sent, in seconds.
+        """
+        return (status.clock_s, sent_s) < (self._clock_s, self._sent_s)
+
+    def apply(
+        self,
+        status: runner_status.RunnerStatus,
+        now_s: float,
+        *,
+        sent_s: float,
+    ) -> bool:
         """Takes the newest answer to a poll.
 
+        Args:
+            status: the answer.
+            now_s: current monotonic time, in seconds.
+            sent_s: monotonic time at which the poll was sent, in seconds.
+
         Returns:
             Whether it shows anything that the scheduler should know at once.
         """
         self._clock_s, self._clock_read_s = status.clock_s, now_s
+        self._sent_s = sent_s
         self.has_polled = True
         regained = self.contact.on_answer()
         ended = tuple(
--- a/tests/test_lease_bound.py
+++ b/tests/test_lease_bound.py
@@ -31,7 +31,7 @@
 # poll had been answered for a time.
 def test_a_slow_clock_of_the_worker_does_not_lengthen_the_lease() -> None:
     view = worker_view.WorkerView(machines.MAX_LEASE_S)
-    view.apply(_reply(clock_s=100.0), now_s=1000.0)
+    view.apply(_reply(clock_s=100.0), now_s=1000.0, sent_s=1000.0)
     unanswered_s = 60.0
     worker_clock_s = 100.0 + unanswered_s * (1 - engine.CLOCK_RATE_ERROR)
     assert (
