Count refusals of a worker that has left by pauses, not by polls

Found by a review, shown by tests only.

Cause: a deregistered worker counts as ended once it has refused connections for 1 s, longer than a stop may take. The refusals were counted where any poll fails. The polls that follow accepted stops take no pause, so that twelve of them counted like 1.2 s.

Fix: a refusal counts at the pause that follows a failed poll of the agent's loop, as polls that can't reach the worker do.

--- a/pimentobridge/daemons/worker_contact.py
+++ b/pimentobridge/daemons/worker_contact.py
@@ -34,7 +34,8 @@
         deregistered: whether it has announced that it is shutting down. It may
             go on for a time, as it does if it got no answer.
         unreachable_polls: polls in a row that can't have reached it.
-        refused_polls: polls in a row whose connections it refused.
+        refused_pauses: pauses in a row after polls whose connections it
+            refused.
         starts_under_way: starts that may arrive at it yet.
     """
 
@@ -46,8 +47,10 @@
         self.ended = False
         self.deregistered = False
         self.unreachable_polls = 0
-        self.refused_polls = 0
+        self.refused_pauses = 0
         self.starts_under_way = 0
+        # Whether it refused the latest connection.
+        self._refuses = False
 
     @contextlib.contextmanager
     def start_under_way(self) -> Iterator[None]:
@@ -61,7 +64,8 @@
     def on_possible_arrival(self) -> None:
         """Notes that a call may have reached it and renewed its lease."""
         self.unreachable_polls = 0
-        self.refused_polls = 0
+        self.refused_pauses = 0
+        self._refuses = False
 
     def on_answer(self) -> bool:
         """Notes an answer; returns whether it wasn't reachable before."""
@@ -87,7 +91,9 @@
         """
         changed = self.reachable
         self.reachable = False
-        self.refused_polls = self.refused_polls + 1 if refused else 0
+        self._refuses = refused
+        if not refused:
+            self.refused_pauses = 0
         return changed
 
     def on_retry_pause(self) -> bool:
@@ -101,6 +107,7 @@
         if self.reachable:
             return False
         self.unreachable_polls += 1
+        self.refused_pauses += self._refuses
         if self.ended or self.starts_under_way or not self.presumed_ended:
             return False
         self.ended = True
@@ -122,5 +129,5 @@
 
     @property
     def _has_left(self) -> bool:
-        refused_s = self.refused_polls * POLL_RETRY_PAUSE_S
+        refused_s = self.refused_pauses * POLL_RETRY_PAUSE_S
         return self.deregistered and refused_s > REFUSAL_S
