Refuse late starts without orders, all at once and for a limited time

Found by a review, shown by tests only.

Cause: a worker's next incarnation is told to refuse the starts that were sent to the one before, and isn't reported until then. These stops waited for valid orders, so that they weren't sent while the agent was cut off; they were sent one after the other; and they went on for as long as no stop was answered, though nothing can come late after 15 s.

Fix: these stops need no orders. The run was ordered to an earlier incarnation and is never ordered here, so that the stop is right whoever the scheduler is. They are sent side by side. A start that is too old to come counts as refused once a poll doesn't list its run.

--- a/pimentobridge/daemons/run_orders.py
+++ b/pimentobridge/daemons/run_orders.py
@@ -208,17 +208,7 @@
             Whether the worker confirmed the stop.
         """
         while self._agent.is_current(incarnation) and self._agent.may_act():
-            token = self._agent.token
-            outcome = await self._runner.stop(incarnation, key, token=token)
-            logs.event(
-                "stop ordered",
-                task=key.task,
-                run=key.run,
-                worker=incarnation.worker,
-                born_ms=incarnation.started_ms,
-                token=token,
-                outcome=outcome.value,
-            )
+            outcome = await self._stop_once(incarnation, key)
             if outcome is runner_lib.StopResult.STOPPED:
                 return True
             if outcome is not runner_lib.StopResult.UNKNOWN:
@@ -226,39 +216,73 @@
             await trio.sleep(ORDER_RETRY_PAUSE_S)
         return False
 
-    def start_refusing_late_starts(
-        self, incarnation: runs.IncarnationKey
-    ) -> None:
-        """Has a new incarnation refuse the starts sent to the one before."""
-        late = self._late_starts.of(incarnation.worker, self._clock.monotonic())
-        self._agent.view.may_start_late = late
-        if late and self._nursery is not None:
-            self._nursery.start_soon(self._refuse_late_starts, incarnation)
+    async def _stop_once(
+        self, incarnation: runs.IncarnationKey, key: runs.RunKey
+    ) -> runner_lib.StopResult:
+        token = self._agent.token
+        outcome = await self._runner.stop(incarnation, key, token=token)
+        logs.event(
+            "stop ordered",
+            task=key.task,
+            run=key.run,
+            worker=incarnation.worker,
+            born_ms=incarnation.started_ms,
+            token=token,
+            outcome=outcome.value,
+        )
+        return outcome
 
-    async def _refuse_late_starts(
+    def start_refusing_late_starts(
         self, incarnation: runs.IncarnationKey
     ) -> None:
-        """Has an incarnation refuse the starts sent to the one before.
+        """Has a new incarnation refuse the starts sent to the one before.
 
         The scheduler starts these runs elsewhere as soon as it knows of the
         incarnation, which isn't reported before.
         """
-        late = self._agent.view.may_start_late
-        while late and self._agent.is_current(incarnation):
+        late = self._starts_that_may_come(incarnation)
+        self._agent.view.may_start_late = late
+        if self._nursery is not None:
             for run in list(late):
-                with containment.contained("refusing a late start"):
-                    if await self._is_refused_for_good(incarnation, run):
-                        late.discard(run)
-            if late:
+                self._nursery.start_soon(
+                    self._refuse_late_start, incarnation, run, late
+                )
+
+    def _starts_that_may_come(
+        self, incarnation: runs.IncarnationKey
+    ) -> set[runs.RunKey]:
+        return self._late_starts.of(incarnation.worker, self._clock.monotonic())
+
+    async def _refuse_late_start(
+        self,
+        incarnation: runs.IncarnationKey,
+        run: runs.RunKey,
+        late: set[runs.RunKey],
+    ) -> None:
+        """Removes a run from those that may start late once it can't."""
+        while self._agent.is_current(incarnation) and run in late:
+            with containment.contained("refusing a late start"):
+                if await self._is_over_for_good(incarnation, run):
+                    late.discard(run)
+            if run in late:
                 await trio.sleep(ORDER_RETRY_PAUSE_S)
-        self._agent.wake_report()
+        if not late:
+            self._agent.wake_report()
 
-    async def _is_refused_for_good(
+    async def _is_over_for_good(
         self, incarnation: runs.IncarnationKey, run: runs.RunKey
     ) -> bool:
-        """Has an incarnation refuse a run; returns whether none is there."""
+        """Stops a run; returns whether it isn't there and can't come any more.
+
+        No valid orders are needed. A run of an earlier incarnation is never
+        ordered here, so that this stop is right whoever the scheduler is.
+        """
+        outcome = await self._stop_once(incarnation, run)
         return (
-            await self._stop_permanently(incarnation, run)
+            (
+                outcome is runner_lib.StopResult.STOPPED
+                or run not in self._starts_that_may_come(incarnation)
+            )
             and await self._agent.poll(0.0)
             and self._agent.is_current(incarnation)
             and not self._agent.view.is_running(run)
