--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -11,6 +11,7 @@
 from pimentobridge.bench import harness
 from pimentobridge.core import types
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import engine
 from pimentobridge.daemons import late_starts
 from pimentobridge.lab import callers
 from pimentobridge.lab import faulty_client
@@ -19,6 +20,8 @@
 from pimentobridge.platform import http_client
 
 TASK_S = 10.0
+SHORT_TASK_S = 0.05
+LONG_TASK_S = 20.0
 FOLLOW_S = 50.0
 CRASH_AFTER_S = 1.0
 START_PATH = "/v1/run-start"
@@ -81,7 +84,7 @@
 
 
 async def _restart_before_late_start(
-    monkeypatch: pytest.MonkeyPatch, late_s: float
+    monkeypatch: pytest.MonkeyPatch, late_s: float, task_s: float = TASK_S
 ) -> list[str]:
     """Restarts a worker under its id while a start is to come.
 
@@ -104,7 +107,7 @@
         world.start()
         await trio.sleep(4.0)
         async with trio.open_nursery() as traffic:
-            job = callers.one_task_job(TASK_S)
+            job = callers.one_task_job(task_s)
             caller = callers.follow(world, job, for_s=FOLLOW_S)
             traffic.start_soon(caller.run)
             while late.host is None:
@@ -141,3 +144,67 @@
     assert late.of(WORKER, end_s) == {RUN}
     assert late.of(WORKER, end_s + 0.1) == set()
     assert late.of(types.WorkerId("i-2"), 12.0) == set()
+
+
+async def _restart_and_cut_off(
+    monkeypatch: pytest.MonkeyPatch, late_s: float, cut_s: float
+) -> list[str]:
+    """Restarts a worker and cuts its agent off while a start is to come."""
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(
+            rng=random.Random(1), nursery=nursery, entries=1, workers=2
+        )
+        late = _LateCalls(world, late_s)
+
+        async def call(
+            client: faulty_client.FaultyClient, *args: Any, **kwargs: Any
+        ) -> http_client.Answer | http_client.Failure:
+            return await late.call(client, *args, **kwargs)
+
+        monkeypatch.setattr(faulty_client.FaultyClient, "call", call)
+        world.put_configuration()
+        world.start()
+        await trio.sleep(4.0)
+        async with trio.open_nursery() as traffic:
+            job = callers.one_task_job(LONG_TASK_S)
+            caller = callers.follow(world, job, for_s=60.0)
+            traffic.start_soon(caller.run)
+            while late.host is None:
+                await trio.sleep(0.01)
+            await trio.sleep(0.4)
+            host = late.host
+            world.network.faults.isolated.add(host.address)
+            # The orders are no longer valid when the next incarnation starts.
+            await trio.sleep(engine.ORDER_VALIDITY_S)
+            host.runner.crash()
+            host.runner = host._new_runner(host.runner.worker)
+            late.restarted = True
+            await trio.sleep(cut_s)
+            world.network.faults.isolated.discard(host.address)
+        findings = world.checker.finish()
+        nursery.cancel_scope.cancel()
+    return findings
+
+
+# Guards against TWICE (issue 38): the stops of late starts waited for orders. The
+# scheduler finds the lease expired by then.
+@pytest.mark.parametrize("late_s", [2.0, 6.0, 9.0, 10.0, 11.0, 12.0])
+def test_a_late_start_is_refused_while_the_agent_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch, late_s: float
+) -> None:
+    violated = harness.run_virtual(
+        _restart_and_cut_off, monkeypatch, late_s, 14.0
+    )
+    assert violated == []
+
+
+# Guards against TWICE (issue 38): the end of such a run was acknowledged as one
+# of an unknown run, and the task started again.
+@pytest.mark.parametrize("late_s", [1.01, 1.02, 1.05, 1.1, 1.2, 1.5, 2.0])
+def test_a_late_start_that_is_done_at_once_is_the_only_one(
+    monkeypatch: pytest.MonkeyPatch, late_s: float
+) -> None:
+    violated = harness.run_virtual(
+        _restart_before_late_start, monkeypatch, late_s, SHORT_TASK_S
+    )
+    assert violated == []
--- a/tests/test_refusal_takeovers.py
+++ b/tests/test_refusal_takeovers.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
-from typing import Any
 
 import pytest
 import trio
@@ -13,18 +11,16 @@
 from pimentobridge.lab import callers
 from pimentobridge.lab import world as world_lib
 from pimentobridge.testing import platform_runner
-from tests import test_refused_starts
-
-if TYPE_CHECKING:
-    from pimentobridge.platform import http_client
+from pimentobridge.testing import refused_retry
 
 TASK_S = 8.0
 FOLLOW_S = 45.0
 
 
 async def _run_job(
-    faults: test_refused_starts._StartFaults, killed: str, after_s: float
+    faults: refused_retry.RefusedRetry, killed: str, after_s: float
 ) -> tuple[list[str], str]:
+    """Returns the findings, and the job's last state."""
     async with trio.open_nursery() as nursery:
         world = world_lib.World(
             rng=random.Random(1), nursery=nursery, entries=2, workers=2
@@ -36,7 +32,7 @@
         job = callers.one_task_job(TASK_S)
         async with trio.open_nursery() as traffic:
             traffic.start_soon(callers.follow(world, job, for_s=FOLLOW_S).run)
-            while faults._first is None or faults._late_call is not None:
+            while faults.first is None or faults.late_call is not None:
                 await trio.sleep(0.005)
             await trio.sleep(after_s)
             if "scheduler" in killed:
@@ -45,17 +41,19 @@
                         entry.kill()
             if "agent" in killed:
                 for host in world.workers:
-                    if host.runner is faults._first:
+                    if host.runner is faults.first:
                         host.kill()
             if "terminated" in killed:
                 for host in world.workers:
-                    if host.runner is faults._first:
+                    if host.runner is faults.first:
                         traffic.start_soon(host.terminate)
         findings = world.checker.finish()
         nursery.cancel_scope.cancel()
     return findings, job.observed_states[-1][1]
 
 
+# Guards against TWICE (issue 38): an agent or a scheduler forgets a refusal while
+# the run that was refused is still being stopped.
 @pytest.mark.parametrize(
     "killed",
     [
@@ -73,14 +71,8 @@
 def test_a_refused_run_is_not_released_across_takeovers(
     monkeypatch: pytest.MonkeyPatch, killed: str, after_s: float, refusal: int
 ) -> None:
-    faults = test_refused_starts._StartFaults(refusal)
-
-    async def handle(
-        runner: platform_runner.PlatformRunner, *args: Any
-    ) -> http_client.Answer:
-        return await faults.handle(runner, *args)
-
-    monkeypatch.setattr(platform_runner.PlatformRunner, "handle", handle)
+    faults = refused_retry.RefusedRetry(refusal)
+    faults.patch(monkeypatch)
     assert harness.run_virtual(
         lambda: _run_job(faults, killed, after_s), seed=1
     ) == ([], "completed")
