--- a/pimentobridge/core/scheduling/run_ends.py
+++ b/pimentobridge/core/scheduling/run_ends.py
@@ -52,10 +52,7 @@
         if end.cause is runs.EndCause.DONE:
             worker.health.on_done()
             if not entry.step.long_running:
-                unit.status = progress_lib.UnitStatus.DONE
-                self._complete_occurrence_if_done(
-                    tracked, entry.name.occurrence
-                )
+                self.complete(tracked, unit, entry.name.occurrence)
                 return
         if unit.status is progress_lib.UnitStatus.DONE:
             return
@@ -67,6 +64,19 @@
         self._fail_if_exhausted(tracked, entry)
         unit.requeue_if_released()
 
+    def complete(
+        self, tracked: ledger.TrackedJob, unit: progress_lib.Unit, number: int
+    ) -> None:
+        """Marks a unit as done, and its occurrence if that is done by now.
+
+        Args:
+            tracked: the unit's job.
+            unit: the unit.
+            number: number of the occurrence.
+        """
+        unit.status = progress_lib.UnitStatus.DONE
+        self._complete_occurrence_if_done(tracked, number)
+
     def _count_failure(
         self, worker: fleet.TrackedWorker, entry: ledger.RunEntry
     ) -> None:
