Draw runners that go on after leaving, clock jumps and takeovers in series

The lab's runners ended as they deregistered, each incarnation named a later start than the one before, and takeovers came one at a time.

New kinds: runners that go on for 1 to 10 s after they have deregistered, alone, behind a cut, with answers cut off, beside a slow or a killed agent; the time of day jumping by up to 60 s either way between incarnations, under new ids or the same, with and without restarts of the agents; takeovers in series; agents cut off for longer than the longest lease; agents killed while orders are carried out late. A runner that drains says so in the soak.

Tests: the checker detects the release of a refused run that is being stopped.

--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -9,7 +9,9 @@
 import trio
 
 from pimentobridge.lab import faulty_client
+from pimentobridge.lab import incarnation_faults
 from pimentobridge.lab import runner_faults
+from pimentobridge.lab import takeover_faults
 from pimentobridge.platform import operator_configuration
 from pimentobridge.testing import odd_entries
 
@@ -37,6 +39,12 @@
 )
 # Faults that come in the midst of a series.
 KINDS_IN_SERIES = (
+    "agents cut off beyond their leases",
+    "agents killed amid late orders",
+    "runners go on after they have left",
+    "runners leave behind a cut",
+    "runners leave, agents slow",
+    "takeovers in series",
     "agents cut off",
     "agents killed",
     "agents terminated",
@@ -431,6 +439,36 @@
     "answers to orders lost": runner_faults.order_injector(
         runner_faults.lost_answers, unhealthy=False
     ),
+    "runners go on after they have left": incarnation_faults.leave_injector(),
+    "runners leave behind a cut": incarnation_faults.leave_injector(
+        incarnation_faults.cut_off
+    ),
+    "runners leave, answers cut off": incarnation_faults.leave_injector(
+        incarnation_faults.lose_answers
+    ),
+    "runners leave, agents slow": incarnation_faults.leave_injector(
+        incarnation_faults.slow_down
+    ),
+    "runners leave, agents killed": incarnation_faults.leave_injector(
+        incarnation_faults.restart_agent
+    ),
+    "clocks jump, runners restart": incarnation_faults.clock_injector(
+        keeps_id=False, restarts_agents=False
+    ),
+    "clocks jump, runners keep their ids": incarnation_faults.clock_injector(
+        keeps_id=True, restarts_agents=False
+    ),
+    "clocks jump, agents restart": incarnation_faults.clock_injector(
+        keeps_id=False, restarts_agents=True
+    ),
+    "clocks jump, ids stay, agents restart": (
+        incarnation_faults.clock_injector(keeps_id=True, restarts_agents=True)
+    ),
+    "takeovers in series": takeover_faults.take_over_in_series,
+    "agents cut off beyond their leases": (
+        takeover_faults.isolate_agents_beyond_lease
+    ),
+    "agents killed amid late orders": takeover_faults.kill_agents_amid_orders,
     "orders late on some workers": runner_faults.order_injector(
         runner_faults.late_orders, unhealthy=False
     ),
--- a/pimentobridge/lab/faulty_client.py
+++ b/pimentobridge/lab/faulty_client.py
@@ -54,6 +54,8 @@
         late_execution_rate: share of the calls other than GET that are carried
             out seconds later and never answered.
         delay_factor: multiplies the duration of each call.
+        extra_delay_s_by_node: additional duration of each call of single
+            machines, in seconds, by node name.
         order_faults_by_node: faults of the orders of single machines to their
             runners, by node name.
     """
@@ -65,6 +67,9 @@
     lost_answer_rate: float = 0.0
     late_execution_rate: float = 0.0
     delay_factor: float = 1.0
+    extra_delay_s_by_node: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     order_faults_by_node: dict[str, order_faults.OrderFaults] = (
         dataclasses.field(default_factory=dict)
     )
@@ -140,7 +145,10 @@
             await trio.sleep(timeout_s)
             return http_client.Failure.TIMED_OUT
         with trio.move_on_after(timeout_s):
-            await trio.sleep(self._delay_s * faults.delay_factor)
+            extra_delay_s = faults.extra_delay_s_by_node.get(self._node, 0.0)
+            await trio.sleep(
+                self._delay_s * faults.delay_factor + extra_delay_s
+            )
             answer = await self._handler(method, path, body, headers or {})
             is_lost = treatment is order_faults.Treatment.ANSWER_LOST
             if is_change and self._rng.random() < faults.lost_answer_rate:
--- a/pimentobridge/lab/machines.py
+++ b/pimentobridge/lab/machines.py
@@ -156,7 +156,7 @@
             world.pool,
             worker or f"i-{self._number}-{world.runner_incarnations}",
             world.capacity_of(self._number),
-            started_ms=world.runner_incarnations,
+            started_ms=world.next_start_ms(),
             max_lease_s=MAX_LEASE_S,
             guards_capacity=world.runners_guard_capacity,
         )
@@ -300,14 +300,24 @@
         self.runner.crash()
         self.kill()
 
-    async def drain_runner(self) -> None:
-        """Drains the runner, deregisters it and replaces it by a new one."""
+    async def drain_runner(
+        self, drain_s: float = RUNNER_DRAIN_S, linger_s: float = 0.0
+    ) -> None:
+        """Drains the runner, deregisters it and replaces it by a new one.
+
+        Args:
+            drain_s: time until it deregisters, in seconds.
+            linger_s: how much longer it goes on, for lack of an
+                acknowledgement, in seconds.
+        """
         drained = self.runner
         drained.draining = True
-        await trio.sleep(RUNNER_DRAIN_S)
+        await trio.sleep(drain_s)
         if self.agent is not None:
             self.agent.on_deregistered(drained.worker)
-        drained.crash()
+        await trio.sleep(linger_s)
+        if drained.up:
+            drained.crash()
         await trio.sleep(RESTART_DELAY_S)
         if self.runner is drained:
             self.runner = self._new_runner()
@@ -318,10 +328,15 @@
         self.kill()
         self.crash_runner()
 
-    def crash_runner(self) -> None:
-        """Crashes the runner and replaces it by a new incarnation."""
-        self.runner.crash()
-        self.runner = self._new_runner()
+    def crash_runner(self, *, keeps_id: bool = False) -> None:
+        """Crashes the runner and replaces it by a new incarnation.
+
+        Args:
+            keeps_id: whether the new incarnation has the id of the old one.
+        """
+        crashed = self.runner
+        crashed.crash()
+        self.runner = self._new_runner(crashed.worker if keeps_id else None)
 
     async def cut_off_runner(self, for_s: float) -> None:
         """Cuts the runner off from its agent, silently and both ways."""
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -35,6 +35,8 @@
 CAPACITY = model.Resources(32_000, 128_000, 8)
 SMALL_CAPACITY = model.Resources(16_000, 64_000, 8)
 STORE_CALL_S = 0.007
+# Time of day at the start of a simulation, in Unix milliseconds.
+FIRST_START_MS = 1_700_000_000_000
 RUNNER_CALL_S = 0.002
 KEY = "key-of-shop"
 # The policy of the advised queues denies each step one worker in this many.
@@ -72,6 +74,8 @@
     Attributes:
         last_fault_s: time at which a fault was last active, in seconds.
         runner_incarnations: number of runners created so far.
+        time_of_day_jump_ms: how far the time of day that new runners take for
+            their start has jumped, in milliseconds; whole seconds.
         version: version of the newest configuration.
     """
 
@@ -113,6 +117,7 @@
             rng=rng,
         )
         self.runner_incarnations = 0
+        self.time_of_day_jump_ms = 0
         self.origin = trio_clock.FIXED_ORIGIN
         self.network = network_lib.Network(
             rng=rng, local_s=0.001, link_s=0.03, link_bytes_per_s=2_000_000.0
@@ -142,6 +147,20 @@
         """Returns the capacity of a worker's runner by the worker's number."""
         return CAPACITY if worker < self._large_workers else SMALL_CAPACITY
 
+    def next_start_ms(self) -> int:
+        """Returns when a new runner starts, as it says, in Unix milliseconds.
+
+        No two of the first thousand runners say the same, as jumps are whole
+        seconds.
+        """
+        whole_s = int(trio.current_time())
+        return (
+            FIRST_START_MS
+            + whole_s * 1000
+            + self.time_of_day_jump_ms
+            + self.runner_incarnations
+        )
+
     def settings(self, node: str) -> boot_settings.ProcessSettings:
         """Returns the settings of a machine's process."""
         return boot_settings.ProcessSettings(
--- a/pimentobridge/testing/platform_servers.py
+++ b/pimentobridge/testing/platform_servers.py
@@ -211,21 +211,55 @@
                 )
                 nursery.start_soon(self._send_heartbeats, number)
 
-    def crash(self, number: int, *, keeps_id: bool = False) -> None:
+    def crash(
+        self, number: int, *, keeps_id: bool = False, clock_jump_ms: int = 0
+    ) -> None:
         """Crashes a runner and starts a new incarnation at the same address.
 
         Args:
             number: number of the runner.
             keeps_id: whether the new incarnation has the id of the old one.
+            clock_jump_ms: how far the time of day that the new incarnation
+                takes for its start has jumped, in milliseconds.
         """
         crashed = self.runners[number]
         crashed.crash()
         self.runners[number] = self._new_runner(
-            number, crashed.worker if keeps_id else None
+            number,
+            crashed.worker if keeps_id else None,
+            clock_jump_ms=clock_jump_ms,
         )
 
+    async def leave(self, number: int, drain_s: float, linger_s: float) -> None:
+        """Drains a runner, deregisters it and ends it.
+
+        Args:
+            number: number of the runner.
+            drain_s: time until it deregisters, in seconds.
+            linger_s: how much longer it goes on, for lack of an
+                acknowledgement, in seconds.
+        """
+        runner = self.runners[number]
+        runner.draining = True
+        await trio.sleep(drain_s)
+        client = http_client.HttpClient(self._runner_addresses[number][1])
+        if runner.up:
+            await client.call(
+                "POST",
+                f"/v1/instances/{runner.worker}/deregister",
+                timeout_s=1.0,
+                body={},
+            )
+        await trio.sleep(linger_s)
+        if runner.up:
+            runner.crash()
+
     def _new_runner(
-        self, number: int, worker: str | None = None
+        self,
+        number: int,
+        worker: str | None = None,
+        *,
+        clock_jump_ms: int = 0,
     ) -> platform_runner.PlatformRunner:
         self._incarnations += 1
         is_small = number >= len(self._runner_addresses) - self._small_workers
@@ -233,7 +267,9 @@
             self.pool,
             worker or f"worker-{self._incarnations}",
             SMALL_CAPACITY if is_small else CAPACITY,
-            started_ms=int(time.time() * 1000) + self._incarnations,
+            started_ms=int(time.time() * 1000)
+            + clock_jump_ms
+            + self._incarnations,
             max_lease_s=MAX_LEASE_S,
         )
 
@@ -313,7 +349,7 @@
                     "zone": "north-a",
                     "version": "v1",
                     "slots": 8,
-                    "state": "ready",
+                    "state": "draining" if runner.draining else "ready",
                     "capacity": {
                         "cpu": runner.capacity.cpu_millicores,
                         "memMb": runner.capacity.memory_mib,
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -21,6 +21,8 @@
 from pimentobridge.testing import platform_runner
 
 if TYPE_CHECKING:
+    from pimentobridge.core.jobs import runs
+    from pimentobridge.core.scheduling import fleet
     from pimentobridge.platform import heartbeats
 
 SEEDS = range(1, 9)
@@ -260,3 +262,49 @@
         "pimentobridge.core.scheduling.ledger.RunEntry.is_current", True
     )
     assert "GANG" in _rules(simulation.run(1, []).findings)
+
+
+def _repeated(kind: str, workers: tuple[int, ...]) -> list[faults.Fault]:
+    """Returns faults of one kind, again and again during the traffic."""
+    return [
+        faults.Fault(kind, at_s, 7.0, workers)
+        for at_s in (2.0, 10.0, 18.0, 26.0)
+    ]
+
+
+def test_the_checker_detects_refused_runs_that_are_being_stopped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A refusal releases a run that an earlier, unanswered start has begun, and
+    # that the worker lists as running while it is being stopped.
+    def release(
+        self: engine.Engine, worker: fleet.TrackedWorker, refused: runs.RunKey
+    ) -> None:
+        if refused in worker.entries_by_key:
+            worker.health.on_refused(trio.current_time())
+        self._release_run(worker, refused, "start refused")
+
+    monkeypatch.setattr(engine.Engine, "_on_refusal", release)
+    injected = _repeated("runners unhealthy, answers cut off", (0, 1))
+    detected = [
+        "TWICE" in _rules(simulation.run(seed, injected).findings)
+        for seed in range(1, 9)
+    ]
+    assert sum(detected) >= 3
+
+
+# Guards against TWICE (issue 38): a runner that had deregistered counted as
+# ended once a call couldn't reach it, while it went on behind a cut.
+@pytest.mark.parametrize("seed", [14, 19])
+def test_a_runner_that_has_left_may_go_on_behind_a_cut(seed: int) -> None:
+    injected = _repeated("runners leave behind a cut", (0, 1, 2))
+    assert simulation.run(seed, injected).findings == []
+
+
+# Guards against LOST (issue 38): a runner that names an earlier start than the
+# runner before it on its machine was not used, and the runs of that one, which
+# had ended, counted as running.
+@pytest.mark.parametrize("seed", [12])
+def test_workers_are_used_after_the_time_of_day_has_jumped(seed: int) -> None:
+    fault = faults.Fault("clocks jump, runners restart", 9.0, 7.0, (0, 1))
+    assert simulation.run(seed, [fault]).findings == []
