--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -186,8 +186,8 @@
     return findings
 
 
-# Guards against TWICE (issue 38): the stops of late starts waited for orders. The
-# scheduler finds the lease expired by then.
+# Guards against TWICE (issue 38): the stops of late starts waited for orders.
+# The scheduler finds the lease expired by then.
 @pytest.mark.parametrize("late_s", [2.0, 6.0, 9.0, 10.0, 11.0, 12.0])
 def test_a_late_start_is_refused_while_the_agent_is_cut_off(
     monkeypatch: pytest.MonkeyPatch, late_s: float
--- a/tests/test_refusal_takeovers.py
+++ b/tests/test_refusal_takeovers.py
@@ -52,8 +52,8 @@
     return findings, job.observed_states[-1][1]
 
 
-# Guards against TWICE (issue 38): an agent or a scheduler forgets a refusal while
-# the run that was refused is still being stopped.
+# Guards against TWICE (issue 38): an agent or a scheduler forgets a refusal
+# while the run that was refused is still being stopped.
 @pytest.mark.parametrize(
     "killed",
     [
