Name the last answer to a caller whose job didn't end

The finding names the time and the status of its latest request now, so that the next one can be told apart: no answer, an error or an old state.

--- a/pimentobridge/lab/callers.py
+++ b/pimentobridge/lab/callers.py
@@ -164,6 +164,7 @@
     async def _poll(self) -> None:
         while trio.current_time() < self._until_s:
             status, response_body = await self._call("GET", b"")
+            self._job.last_poll = (trio.current_time(), status)
             if status == 410:
                 self._checker.on_not_found(self._job)
             elif status == 200:
--- a/pimentobridge/lab/checkers.py
+++ b/pimentobridge/lab/checkers.py
@@ -58,6 +58,8 @@
         cancel_sent: whether the caller has requested a cancellation.
         observed_states: states that callers were told, with their times in
             seconds.
+        last_poll: time in seconds and HTTP status of the latest request for
+            the state; the status is 0 if there was no response.
     """
 
     id: str
@@ -70,6 +72,7 @@
     observed_states: list[tuple[float, str]] = dataclasses.field(
         default_factory=list
     )
+    last_poll: tuple[float, int] | None = None
 
     @property
     def accepted(self) -> bool:
@@ -352,6 +355,7 @@
             if job.accepted and not ended:
                 self._report(
                     "LOST",
-                    f"{job.id} did not end; last reported as {last_state!r}",
+                    f"{job.id} did not end; last reported as {last_state!r},"
+                    f" last asked for (s, status): {job.last_poll}",
                 )
         return self.findings
