--- a/pimentobridge/lab/soak_faults.py
+++ b/pimentobridge/lab/soak_faults.py
@@ -32,6 +32,8 @@
 # Share of the soaks with a series of faults of the calls to the same runners.
 SERIES_SHARE = 0.6
 RUNNERS_IN_SERIES = 2
+# Share of the faults in a series that are of the kind drawn for it.
+MAIN_FAULT_SHARE = 0.7
 MAX_SERIES_FAULT_S = 8.0
 TERMINATION_GRACE_S = 6.0
 # Share of the tasks first started during the fault that crash their runners.
@@ -127,22 +129,27 @@
         ]
 
     async def _inject_series(self, until_s: float) -> None:
-        """Disturbs the calls to the same two runners, again and again."""
+        """Disturbs the same two runners, again and again.
+
+        One fault of the calls to them, drawn for the series, comes most often.
+        """
         injectors: list[Callable[..., Awaitable[None]]] = [
             self._refuse_starts,
             self._disturb_orders,
             self._refuse_starts_and_disturb_orders,
             self._refuse_starts_around_cuts,
-            *self._incarnation_injectors(),
         ]
+        main = self.rng.choice(injectors)
+        injectors += self._incarnation_injectors()
         numbers = self.rng.sample(
             range(len(self.runner_proxies)), RUNNERS_IN_SERIES
         )
         while trio.current_time() < until_s:
             async with trio.open_nursery() as nursery:
                 for number in numbers:
+                    is_main = self.rng.random() < MAIN_FAULT_SHARE
                     nursery.start_soon(
-                        self.rng.choice(injectors),
+                        main if is_main else self.rng.choice(injectors),
                         self.rng.uniform(2.0, MAX_SERIES_FAULT_S),
                         number,
                     )
