Check that an unconfirmed incarnation is never taken, at any time

With the mutation (every heartbeat is believed) both cases of the new test fail; without it they pass, also while the runner doesn't answer.

--- a/tests/test_worker_announcements.py
+++ b/tests/test_worker_announcements.py
@@ -16,6 +16,8 @@
 
 TASK_S = 1.0
 CUT_TASK_S = 6.0
+OBSERVED_S = 3.0
+SAMPLING_INTERVAL_S = 0.01
 # The users' bound for a job that has begun no run while workers are idle, with
 # the time of its work.
 FINISH_S = 14.0 + TASK_S
@@ -116,3 +118,45 @@
 # writer's. The worker counted as ended once a call couldn't reach it.
 def test_a_worker_that_is_not_draining_has_not_deregistered() -> None:
     assert harness.run_virtual(_deregister_under_a_run, seed=1) == []
+
+
+async def _incarnations_taken(*, answers: bool) -> set[runs.IncarnationKey]:
+    """Returns whom an agent takes for its worker after odd heartbeats.
+
+    Args:
+        answers: whether the runner answers meanwhile.
+    """
+    taken = set()
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(
+            rng=random.Random(1), nursery=nursery, entries=1, workers=1
+        )
+        world.put_configuration()
+        world.start()
+        await trio.sleep(4.0)
+        host = world.workers[0]
+        assert host.agent is not None
+        if not answers:
+            nursery.start_soon(host.cut_off_runner, OBSERVED_S)
+        await host.deliver_odd_heartbeats()
+        for _ in range(round(OBSERVED_S / SAMPLING_INTERVAL_S)):
+            assert host.agent.worker is not None
+            taken.add(host.agent.worker.key)
+            await trio.sleep(SAMPLING_INTERVAL_S)
+        present = runs.IncarnationKey(
+            types.WorkerId(host.runner.worker), host.runner.started_ms
+        )
+        nursery.cancel_scope.cancel()
+    return taken - {present}
+
+
+# Guards against LOST (issue 35, review/5), also for the time until the worker's
+# next heartbeat: an incarnation counts only once the runner has confirmed it.
+@pytest.mark.parametrize("answers", [True, False])
+def test_an_incarnation_that_is_not_confirmed_is_never_taken(
+    answers: bool,
+) -> None:
+    taken = harness.run_virtual(
+        lambda: _incarnations_taken(answers=answers), seed=1
+    )
+    assert taken == set()
