--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -412,9 +412,7 @@
     def _on_end(self, worker: fleet.TrackedWorker, end: runs.EndedRun) -> None:
         entry = worker.remove(end.key)
         if entry is None:
-            tracked = self._apply_end_of_released_run(worker, end)
-            change = tracked.changes if tracked is not None else 0
-            worker.unacknowledged_ends.append((end.number, tracked, change))
+            self._on_end_of_untracked_run(worker, end)
             return
         self.needs_pass = True
         tracked, unit = entry.tracked, entry.unit
@@ -435,42 +433,17 @@
             (end.number, tracked, tracked.changes)
         )
 
-    def _apply_end_of_released_run(
+    def _on_end_of_untracked_run(
         self, worker: fleet.TrackedWorker, end: runs.EndedRun
-    ) -> ledger.TrackedJob | None:
-        """Applies the end of a released run, if it has done its task.
-
-        A worker may have carried out a late start. The task must not start
-        again after that, unless it has done so by now.
-
-        Returns:
-            The job, if that changes it.
-        """
-        found = ledger.job_of(end.key, self.jobs_by_id)
-        if found is None or end.cause is not runs.EndCause.DONE:
-            return None
-        tracked, name = found
-        unit = tracked.progress.unit_of(name)
-        if (
-            unit is None
-            or unit.run != end.key.run
-            or unit.status is not progress_lib.UnitStatus.WAITING
-            or tracked.state.ended
-            or tracked.step_of(name.step).long_running
-        ):
-            return None
-        self._log(
-            "run done after it counted as over",
-            job=tracked.id,
-            task=end.key.task,
-            run=end.key.run,
-            worker=worker.key.worker,
-            born_ms=worker.key.started_ms,
+    ) -> None:
+        completed = self._run_ends.complete_released(
+            worker, end, self.jobs_by_id
         )
-        self._run_ends.complete(tracked, unit, name.occurrence)
-        self.mark_changed(tracked)
-        self.needs_pass = True
-        return tracked
+        if completed is not None:
+            self.mark_changed(completed)
+            self.needs_pass = True
+        change = completed.changes if completed is not None else 0
+        worker.unacknowledged_ends.append((end.number, completed, change))
 
     def _release_run(
         self, worker: fleet.TrackedWorker, key: runs.RunKey, reason: str
--- a/pimentobridge/core/scheduling/run_ends.py
+++ b/pimentobridge/core/scheduling/run_ends.py
@@ -6,13 +6,15 @@
 
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from pimentobridge.core import clock as clock_lib
+    from pimentobridge.core import types
     from pimentobridge.core.scheduling import fleet
-    from pimentobridge.core.scheduling import ledger
 
 
 class RunEnds:
@@ -52,7 +54,7 @@
         if end.cause is runs.EndCause.DONE:
             worker.health.on_done()
             if not entry.step.long_running:
-                self.complete(tracked, unit, entry.name.occurrence)
+                self._complete(tracked, unit, entry.name.occurrence)
                 return
         if unit.status is progress_lib.UnitStatus.DONE:
             return
@@ -64,16 +66,53 @@
         self._fail_if_exhausted(tracked, entry)
         unit.requeue_if_released()
 
-    def complete(
-        self, tracked: ledger.TrackedJob, unit: progress_lib.Unit, number: int
-    ) -> None:
-        """Marks a unit as done, and its occurrence if that is done by now.
+    def complete_released(
+        self,
+        worker: fleet.TrackedWorker,
+        end: runs.EndedRun,
+        jobs_by_id: Mapping[types.JobId, ledger.TrackedJob],
+    ) -> ledger.TrackedJob | None:
+        """Applies the end of a released run, if it has done its task.
+
+        A worker may have carried out a late start. The task must not start
+        again after that, unless it has done so by now.
 
         Args:
-            tracked: the unit's job.
-            unit: the unit.
-            number: number of the occurrence.
+            worker: the worker that lists the end.
+            end: how the run has ended.
+            jobs_by_id: all tracked jobs.
+
+        Returns:
+            The job, if that changes it.
         """
+        found = ledger.job_of(end.key, jobs_by_id)
+        if found is None or end.cause is not runs.EndCause.DONE:
+            return None
+        tracked, name = found
+        unit = tracked.progress.unit_of(name)
+        if (
+            unit is None
+            or unit.run != end.key.run
+            or unit.status is not progress_lib.UnitStatus.WAITING
+            or tracked.state.ended
+            or tracked.step_of(name.step).long_running
+        ):
+            return None
+        self._log(
+            "run done after it counted as over",
+            job=tracked.id,
+            task=end.key.task,
+            run=end.key.run,
+            worker=worker.key.worker,
+            born_ms=worker.key.started_ms,
+        )
+        self._complete(tracked, unit, name.occurrence)
+        return tracked
+
+    def _complete(
+        self, tracked: ledger.TrackedJob, unit: progress_lib.Unit, number: int
+    ) -> None:
+        """Marks a unit of an occurrence as done."""
         unit.status = progress_lib.UnitStatus.DONE
         self._complete_occurrence_if_done(tracked, number)
 
--- a/pimentobridge/daemons/run_orders.py
+++ b/pimentobridge/daemons/run_orders.py
@@ -278,12 +278,12 @@
         ordered here, so that this stop is right whoever the scheduler is.
         """
         outcome = await self._stop_once(incarnation, run)
+        stopped = outcome is runner_lib.StopResult.STOPPED
+        if not stopped and run in self._starts_that_may_come(incarnation):
+            return False
+        answered = await self._agent.poll(0.0)
         return (
-            (
-                outcome is runner_lib.StopResult.STOPPED
-                or run not in self._starts_that_may_come(incarnation)
-            )
-            and await self._agent.poll(0.0)
+            answered
             and self._agent.is_current(incarnation)
             and not self._agent.view.is_running(run)
         )
