--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -9,6 +9,7 @@
 import pathlib
 import random
 import secrets
+import shutil
 import socket
 import subprocess
 import sys
@@ -306,6 +307,10 @@
         for log in self._folder.glob("*.log"):
             (folder / log.name).write_bytes(log.read_bytes())
 
+    def remove_folder(self) -> None:
+        """Removes the settings and logs of the processes."""
+        shutil.rmtree(self._folder, ignore_errors=True)
+
     def _launch(self, role: str, node: str, ip: str) -> None:
         settings = self._folder / f"{node}.conf"
         settings.write_text(self._settings(role, node, ip), encoding="utf-8")
@@ -435,6 +440,7 @@
         await deployment.stop()
         if logs := os.environ.get("KEEP_LOGS"):
             deployment.keep_logs(pathlib.Path(logs))
+        deployment.remove_folder()
     words = {HELD: "the rule held", BROKEN: "the rule was broken"}
     deployment.note(words.get(outcome, "no judgement"))
     print(f"{folder.name}: {words.get(outcome, 'no judgement')}")
