Divide the tests into checks that stay within the processor time limit

One pytest process for all tests was killed at its 400 s of processor time on arm64. The simulations are checks of their own now, the other files are run in four groups, and tests that must run alone follow after all others.

--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -30,6 +30,19 @@
 # Benchmarks with seeds that failed in the past. With `faults` and seed 90217 a
 # request ran twice: claims were then decided by votes, not by the store.
 REGRESSIONS = [("faults", 90217)]
+# Test files that are checks of their own, because they take long; the others
+# are divided into groups. The whole suite in one process exceeds CPU_LIMIT_S on
+# arm64.
+SLOW_TEST_FILES = (
+    "tests/test_lab.py",
+    "tests/test_lab_checkers.py",
+    "tests/test_lab_fault_kinds.py",
+    "tests/test_soak.py",
+)
+TEST_GROUPS = 4
+# Tests that measure processes under pressure; they run one at a time, after
+# all other checks.
+EXCLUSIVE_TESTS = "tests/exclusive"
 
 
 @dataclasses.dataclass
@@ -74,7 +87,7 @@
 
     A nonzero exit code without a counted failure counts as one failure.
     """
-    if name == "pytest":
+    if name.startswith("pytest"):
         passed = re.search(r"(\d+) passed", output)
         failed = re.search(r"(\d+) (?:failed|error)", output)
         counts = (
@@ -99,7 +112,7 @@
 
     python = str(BIN / "python")
     seeds = [(name, SEED) for name in registry.NAMES] + REGRESSIONS
-    commands = {
+    benchmarks = {
         f"bench {name} seed {seed}": [
             python,
             "-m",
@@ -112,13 +125,19 @@
         for name, seed in seeds
     }
     # A single test that is known red is a check of its own.
-    red_tests = sorted(
-        name for name in _known_red_names() if name.startswith("tests/")
-    )
-    commands |= {name: [python, "-m", "pytest", name] for name in red_tests}
+    red_tests = _red_tests()
     deselected = [f"--deselect={name}" for name in red_tests]
+    commands = {
+        name: [python, "-m", "pytest", name]
+        for name in red_tests
+        if not name.startswith(EXCLUSIVE_TESTS)
+    }
+    commands |= {
+        name: [python, "-m", "pytest", *files, *deselected]
+        for name, files in _test_files_by_check().items()
+    }
+    commands |= benchmarks
     return commands | {
-        "pytest": [python, "-m", "pytest", *deselected],
         "behave": [str(BIN / "behave"), "--no-color", "-f", "progress"],
         "ruff check": [str(BIN / "ruff"), "check", "."],
         "ruff format": [str(BIN / "ruff"), "format", "--check", "."],
@@ -126,11 +145,65 @@
     }
 
 
+def _red_tests() -> list[str]:
+    return sorted(
+        name for name in _known_red_names() if name.startswith("tests/")
+    )
+
+
+def _test_files_by_check() -> dict[str, list[str]]:
+    """Returns the test files of each check that runs pytest."""
+    found = sorted(
+        str(path.relative_to(ROOT))
+        for path in (ROOT / "tests").glob("test_*.py")
+    )
+    others = [name for name in found if name not in SLOW_TEST_FILES]
+    files_by_check = {
+        f"pytest {pathlib.Path(name).stem}": [name] for name in SLOW_TEST_FILES
+    }
+    files_by_check |= {
+        f"pytest group {number + 1}": others[number::TEST_GROUPS]
+        for number in range(TEST_GROUPS)
+    }
+    return files_by_check
+
+
+def _exclusive_commands_by_name() -> dict[str, list[str]]:
+    """Returns the checks that run one at a time, after all others."""
+    python = str(BIN / "python")
+    red_tests = [
+        name for name in _red_tests() if name.startswith(EXCLUSIVE_TESTS)
+    ]
+    deselected = [f"--deselect={name}" for name in red_tests]
+    commands = {name: [python, "-m", "pytest", name] for name in red_tests}
+    for path in sorted((ROOT / EXCLUSIVE_TESTS).glob("test_*.py")):
+        name = str(path.relative_to(ROOT))
+        commands[f"pytest {path.stem}"] = [
+            python,
+            "-m",
+            "pytest",
+            name,
+            *deselected,
+        ]
+    return commands
+
+
 def _known_red_names() -> set[str]:
     text = (ROOT / "KNOWN-RED.txt").read_text(encoding="utf-8")
     return set(re.findall(r"^TEST: (.+)$", text, flags=re.MULTILINE))
 
 
+def _report(result: CheckResult, known_red: set[str]) -> int:
+    """Prints a check's result; returns how many failures count."""
+    is_known_red = result.failed and result.name in known_red
+    failure_label = "known red" if is_known_red else "FAILED"
+    label = failure_label if result.failed else "ok"
+    print(f"{result.name:24} {label:10} {result.seconds:6.1f} s", flush=True)
+    if result.failed:
+        print(result.output[-6000:])
+    return 0 if is_known_red else result.failed
+
+
 def main() -> int:
     # Child processes inherit the limit; each is charged only its own time.
     resource.setrlimit(resource.RLIMIT_CPU, (CPU_LIMIT_S, CPU_LIMIT_S))
@@ -144,14 +217,11 @@
         for future in concurrent.futures.as_completed(futures):
             result = future.result()
             passed += result.passed
-            is_known_red = result.failed and result.name in known_red
-            failure_label = "known red" if is_known_red else "FAILED"
-            label = failure_label if result.failed else "ok"
-            print(f"{result.name:24} {label:10} {result.seconds:6.1f} s")
-            if result.failed:
-                print(result.output[-6000:])
-            if not is_known_red:
-                failed += result.failed
+            failed += _report(result, known_red)
+    for name, command in _exclusive_commands_by_name().items():
+        result = _run_check(name, command)
+        passed += result.passed
+        failed += _report(result, known_red)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed else 0
 
