Let preferences order the workers that can hold a unit, and describe competing load

Several decisions need to state what a placement on a worker costs. They get one interface each planner pass applies in a fixed order. Without preferences the order is unchanged.

--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -8,11 +8,13 @@
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import preferences as preferences_lib
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from pimentobridge.core import types
     from pimentobridge.core.scheduling import fleet
@@ -36,6 +38,11 @@
             there are any that could hold it.
         crashed_on: agents of the machines on which the worker crashed under
             the unit; a unit with any isn't placed beside another such unit.
+        priority: priority of the job's queue.
+        expected_s: expected run time of a member on a worker of average speed,
+            in seconds.
+        due_in_s: time until the completion that the queue promises, in
+            seconds; infinite for a job without such a time.
     """
 
     step: model.Step
@@ -47,6 +54,9 @@
     allowed: Collection[runs.IncarnationKey] | None = None
     crashed_on: Collection[types.Address] = ()
     failed_on: Collection[types.WorkerId] = ()
+    priority: int = 0
+    expected_s: float = 0.0
+    due_in_s: float = float("inf")
 
     def may_run_on(self, worker: fleet.TrackedWorker) -> bool:
         """Returns whether a worker may run the step, given enough capacity."""
@@ -67,12 +77,18 @@
 
     Args:
         workers: workers that accept new tasks.
+        preferences: order the workers that can hold a unit.
 
     Attributes:
         free_by_key: free resources that the pass hasn't reserved yet.
     """
 
-    def __init__(self, workers: Iterable[fleet.TrackedWorker]) -> None:
+    def __init__(
+        self,
+        workers: Iterable[fleet.TrackedWorker],
+        preferences: Sequence[preferences_lib.Preference] = (),
+    ) -> None:
+        self._preferences = preferences
         self.workers_by_key = {worker.key: worker for worker in workers}
         self.free_by_key: FreeResources = {
             key: worker.free for key, worker in self.workers_by_key.items()
@@ -87,6 +103,14 @@
         """Reserves resources of a worker for the rest of the pass."""
         self.free_by_key[key] -= amount
 
+    def costs(
+        self, key: runs.IncarnationKey, demand: Demand
+    ) -> tuple[float, ...]:
+        """Returns what a placement on a worker costs, by preference."""
+        return preferences_lib.costs(
+            self._preferences, self.workers_by_key[key], demand
+        )
+
     def eligible(self, demand: Demand) -> list[fleet.TrackedWorker]:
         """Returns the workers that may run a unit, given enough capacity."""
         if demand.failed_on:
@@ -153,7 +177,7 @@
     if not slots:
         return None
     if step.same_rack and size > 1:
-        chosen = _place_within_rack(candidates, step, slots, size)
+        chosen = _place_within_rack(candidates, demand, slots)
         if chosen is not None or _any_rack_could_hold(candidates, demand):
             return chosen
     order = sorted(
@@ -161,6 +185,7 @@
         key=lambda key: (
             _is_suspect(candidates, key),
             _crash_risk(candidates.workers_by_key[key], demand),
+            candidates.costs(key, demand),
             not _matches_affinity(candidates, step, key),
             slots[key] if size == 1 else -slots[key],
             _unused_share(candidates, step, available_by_key[key], key),
@@ -190,40 +215,42 @@
 
 def _place_within_rack(
     candidates: Candidates,
-    step: model.Step,
+    demand: Demand,
     slots: dict[runs.IncarnationKey, int],
-    size: int,
 ) -> list[runs.IncarnationKey] | None:
     """Places all members in one rack, if any has enough slots.
 
-    It is the affine rack if that has, or else the one with the fewest slots.
+    It is the affine rack if that has, or else the one where the most costly
+    member costs least, and of these the one with the fewest slots.
     """
+    step, size = demand.step, demand.size
+    costs_by_key = {key: candidates.costs(key, demand) for key in slots}
     keys_by_rack: dict[str, list[runs.IncarnationKey]] = (
         collections.defaultdict(list)
     )
     for key in slots:
         keys_by_rack[_rack_of(candidates, key)].append(key)
-    fitting = [
-        (
-            rack != step.affinity_rack if step.affinity_rack else False,
-            sum(slots[key] for key in keys),
-            rack,
+    options = []
+    for rack, keys in keys_by_rack.items():
+        order = sorted(
+            keys,
+            key=lambda key: (
+                _is_suspect(candidates, key),
+                costs_by_key[key],
+                -slots[key],
+                key.worker,
+            ),
         )
-        for rack, keys in keys_by_rack.items()
-        if sum(slots[key] for key in keys) >= size
-    ]
-    if not fitting:
-        return None
-    keys = keys_by_rack[min(fitting)[2]]
-    order = sorted(
-        keys,
-        key=lambda key: (
-            _is_suspect(candidates, key),
-            -slots[key],
-            key.worker,
-        ),
-    )
-    return _assign(order, slots, size)
+        chosen = _assign(order, slots, size)
+        if chosen is not None:
+            rank = (
+                rack != step.affinity_rack if step.affinity_rack else False,
+                max(costs_by_key[key] for key in chosen),
+                sum(slots[key] for key in keys),
+                rack,
+            )
+            options.append((rank, chosen))
+    return min(options)[1] if options else None
 
 
 def _any_rack_could_hold(candidates: Candidates, demand: Demand) -> bool:
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -18,6 +18,7 @@
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import placement
 from pimentobridge.core.scheduling import preemption
+from pimentobridge.core.scheduling import preferences
 from pimentobridge.core.scheduling import ranking
 
 if TYPE_CHECKING:
@@ -80,6 +81,8 @@
         self._log = log
         self._contain = contain
         self._preemptor = preemption.Preemptor(engine, clock=clock, log=log)
+        # In the order of their importance, see `preferences`.
+        self._preferences: tuple[preferences.Preference, ...] = ()
         # Jobs with units that didn't fit in the current pass.
         self._waiting: list[tuple[ledger.TrackedJob, placement.Demand]] = []
 
@@ -88,7 +91,9 @@
         engine = self._engine
         now_s = self._clock.monotonic()
         engine.needs_pass = False
-        candidates = placement.Candidates(engine.placeable_workers())
+        candidates = placement.Candidates(
+            engine.placeable_workers(), self._preferences
+        )
         entitled = self._entitled_jobs()
         capacity = self._largest_worker()
         open_jobs = [
@@ -181,6 +186,9 @@
             ),
             crashed_on=unit.crashed_on,
             failed_on=unit.failed_on,
+            priority=queue.priority,
+            expected_s=ranking.expected_s(tracked, name.step),
+            due_in_s=ranking.due_in_s(tracked, now_s),
         )
 
     def _entitled_jobs(self) -> set[types.JobId]:
--- a/pimentobridge/core/scheduling/ranking.py
+++ b/pimentobridge/core/scheduling/ranking.py
@@ -28,11 +28,17 @@
         if unit.status is progress_lib.UnitStatus.DONE:
             continue
         step = tracked.step_of(step_number)
-        estimate_s = step.estimate_s or ledger.DEFAULT_ESTIMATE_S
-        work += step.footprint.dominant_share(capacity) * estimate_s * unit.size
+        share = step.footprint.dominant_share(capacity)
+        work += share * expected_s(tracked, step_number) * unit.size
     return work
 
 
+def expected_s(tracked: ledger.TrackedJob, step_number: int) -> float:
+    """Returns the expected run time of a step's tasks, in seconds."""
+    step = tracked.step_of(step_number)
+    return step.estimate_s or ledger.DEFAULT_ESTIMATE_S
+
+
 # A result later than this multiple of the time that the queue promises is of no
 # use to its caller any more.
 USELESS_AFTER_OBJECTIVES = 3.0
@@ -62,32 +68,52 @@
             and occurrence is not None
             and occurrence.step_done(number)
         )
-        took_s = 0.0 if done else step.estimate_s or ledger.DEFAULT_ESTIMATE_S
+        took_s = 0.0 if done else expected_s(tracked, number)
         began_s = max((ends_s[earlier] for earlier in step.after), default=0.0)
         ends_s.append(began_s + took_s)
     return max(ends_s, default=0.0)
 
 
+def _has_due_time(tracked: ledger.TrackedJob) -> bool:
+    return not tracked.job.occurrences and not any(
+        step.long_running for step in tracked.job.steps
+    )
+
+
+def promised_s(tracked: ledger.TrackedJob) -> float:
+    """Returns how long after its submission a job is to be done, in seconds."""
+    queue = tracked.job.queue
+    return queue.objective_s + queue.stretch * longest_chain_s(
+        tracked, remaining=False
+    )
+
+
+def due_in_s(tracked: ledger.TrackedJob, now_s: float) -> float:
+    """Returns the time until the promised completion of a job, in seconds.
+
+    Infinite for jobs with a schedule or without an end; negative once the time
+    has passed.
+    """
+    if not _has_due_time(tracked):
+        return float("inf")
+    return promised_s(tracked) - (now_s - tracked.first_seen_s)
+
+
 def timeliness(tracked: ledger.TrackedJob, now_s: float) -> Timeliness:
     """Returns whether a job's result may still be in time.
 
     Jobs with a schedule or without an end have no such time and count as in
     time.
     """
-    if tracked.job.occurrences or any(
-        step.long_running for step in tracked.job.steps
-    ):
+    if not _has_due_time(tracked):
         return Timeliness.IN_TIME
-    queue = tracked.job.queue
-    promised_s = queue.objective_s + queue.stretch * longest_chain_s(
-        tracked, remaining=False
-    )
-    expected_s = (
+    objective_s = promised_s(tracked)
+    completion_s = (
         now_s - tracked.first_seen_s + longest_chain_s(tracked, remaining=True)
     )
-    if expected_s <= promised_s:
+    if completion_s <= objective_s:
         return Timeliness.IN_TIME
-    if expected_s <= promised_s * USELESS_AFTER_OBJECTIVES:
+    if completion_s <= objective_s * USELESS_AFTER_OBJECTIVES:
         return Timeliness.LATE
     return Timeliness.USELESS
 
