Move runs off departing workers only where that loses less work

In a rolling update of 41 workers, 146 tasks were moved 283 times, each time from the beginning and onto workers that were replaced next: a run was stopped at the first report of a drain, whether or not there was room elsewhere, and placement didn't know which workers were to be replaced.

The heartbeat's version is decoded (none if it isn't a text of at most 200 characters). Departures infers a rolling update from two versions of a service and a drain of the older one in the last 10 s, and is the first preference of placement; it also avoids racks and data centres with recent short termination notices for long work without checkpoints. Evacuation decides at the end of each pass, from the room that the pass has left: a checkpointing run is moved to room elsewhere at once, and otherwise just before its worker departs; another run is moved only if there is room for it elsewhere and it would probably be lost, by its progress or else by the estimate with its error of 90 %, and by the time that workers have served beyond their notice. Room for moved runs is held from less urgent jobs. A gang is judged once for all of its departing workers.

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -57,6 +57,7 @@
         draining: it accepts no new tasks and is about to shut down.
         leaves_in_s: minimum time until it shuts down, in seconds; None if no
             shutdown is planned.
+        version: version of the worker's software; empty if unknown.
     """
 
     key: IncarnationKey
@@ -67,6 +68,7 @@
     capacity: model.Resources
     draining: bool = False
     leaves_in_s: float | None = None
+    version: str = ""
 
 
 class RunKey(msgspec.Struct, frozen=True, array_like=True):
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -14,6 +14,7 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import crashes
+from pimentobridge.core.scheduling import departures
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
@@ -60,6 +61,8 @@
         needs_pass: a scheduling pass of the planner is due.
         passes: requests for passes at a time.
         incomplete: an error has ended the processing of a worker's report.
+        departures: workers that depart or are expected to.
+        evacuation: moves runs off departing workers.
         lost_work: counters of the work that runs have lost.
     """
 
@@ -91,6 +94,16 @@
         self.needs_pass = True
         self.incomplete = False
         self.advice = advice_lib.AdviceCache()
+        self.departures = departures.Departures(
+            self.workers_by_incarnation, clock=clock, log=log
+        )
+        self.evacuation = evacuation.Evacuation(
+            self.workers_by_incarnation,
+            self.departures,
+            self.passes,
+            clock=clock,
+            log=log,
+        )
         self.lost_work = lost_work.LostWork()
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
@@ -228,6 +241,7 @@
         self._update_incarnation(worker, agent, observation.incarnation)
         worker.reachable = observation.reachable
         worker.agent_state = observation.agent_state
+        self.departures.on_report(worker)
         if not worker.distrusted:
             self._apply_reported_runs(worker, observation)
         if not worker.reachable:
@@ -237,13 +251,6 @@
         if observation.terminated:
             self._count_crashes(worker, agent, observation)
             self._remove_incarnation(key, "incarnation ended")
-        elif observation.incarnation.draining:
-            evacuation.evacuate(
-                worker,
-                self.workers_by_incarnation,
-                self._clock.monotonic(),
-                self._log,
-            )
 
     def _update_incarnation(
         self,
@@ -258,6 +265,7 @@
                 born_ms=incarnation.key.started_ms,
                 draining=incarnation.draining,
                 leaves_in_s=incarnation.leaves_in_s,
+                version=incarnation.version,
             )
             self.needs_pass = True
         self.incarnation_by_agent[agent] = incarnation.key
@@ -354,6 +362,7 @@
         worker = self.workers_by_incarnation.pop(key, None)
         if worker is None:
             return
+        self.departures.on_removed(worker)
         self._log(
             "worker lost",
             worker=key.worker,
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -28,8 +28,6 @@
         last_answer_s: monotonic time at which orders last answered a report
             of its agent that didn't name the worker or couldn't be processed;
             the agent may renew the lease by them.
-        evacuated: the runs that wouldn't end before it shuts down have been
-            moved.
         agent: address of its agent; None if unknown.
         incarnation: properties that the worker reported; None before the
             first report.
@@ -54,7 +52,6 @@
     key: runs.IncarnationKey
     last_report_s: float
     last_answer_s: float = float("-inf")
-    evacuated: bool = False
     agent: types.Address | None = None
     incarnation: runs.WorkerIncarnation | None = None
     entries_by_key: dict[runs.RunKey, ledger.RunEntry] = dataclasses.field(
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -82,7 +82,9 @@
         self._contain = contain
         self._preemptor = preemption.Preemptor(engine, clock=clock, log=log)
         # In the order of their importance, see `preferences`.
-        self._preferences: tuple[preferences.Preference, ...] = ()
+        self._preferences: tuple[preferences.Preference, ...] = (
+            engine.departures,
+        )
         # Jobs with units that didn't fit in the current pass.
         self._waiting: list[tuple[ledger.TrackedJob, placement.Demand]] = []
 
@@ -120,10 +122,14 @@
             ends=holds.ExpectedEnds(candidates, now_s),
             now_s=now_s,
         )
+        engine.evacuation.hold_room(current.held, candidates)
         for tracked in open_jobs:
             with self._contain("placing a job", job=tracked.id) as error:
                 self._place_job(tracked, current)
             engine.incomplete |= error.occurred
+        with self._contain("moving runs off departing workers") as error:
+            engine.evacuation.run(candidates, self._demand)
+        engine.incomplete |= error.occurred
         if self._waiting:
             engine.passes.request_at(now_s + RETRY_INTERVAL_S)
 
--- a/pimentobridge/platform/heartbeats.py
+++ b/pimentobridge/platform/heartbeats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from typing import Annotated
 
 import msgspec
 
@@ -13,6 +14,7 @@
 
 ACCEPTED_STATES = ("ready", "draining")
 # Visible ASCII characters, as calls to the worker carry its id in a header.
+MAX_VERSION_LENGTH = 200
 _WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
@@ -35,6 +37,7 @@
     born: decoding.Count
     clockMs: decoding.Milliseconds = 0.0  # noqa: N815
     remainingMs: decoding.Milliseconds | None = None  # noqa: N815
+    version: msgspec.Raw = msgspec.Raw()
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
@@ -54,6 +57,9 @@
 
 
 _decoder = msgspec.json.Decoder(_Heartbeat)
+_version_decoder = msgspec.json.Decoder(
+    Annotated[str, msgspec.Meta(max_length=MAX_VERSION_LENGTH)]
+)
 
 
 def decode(worker: str, body: bytes) -> Heartbeat:
@@ -94,12 +100,25 @@
         leaves_in_s=(
             None if wire.remainingMs is None else wire.remainingMs / 1000
         ),
+        version=_version_in(wire.version),
     )
     return Heartbeat(
         incarnation, wire.address, wire.sequence, wire.clockMs / 1000
     )
 
 
+def _version_in(raw: msgspec.Raw) -> str:
+    """Returns a version, or an empty text for what can't be one.
+
+    A heartbeat without a readable version is as good as any other: it only
+    takes no part in the inference of rolling updates.
+    """
+    try:
+        return decoding.decode(_version_decoder, bytes(raw))
+    except decoding.MalformedError:
+        return ""
+
+
 def _rack_of(labels: tuple[str, ...]) -> str:
     # The first label is the worker's kind and the last one its rack.
     return labels[-1] if labels else ""
