Judge runs by past overruns, and don't chase gangs through an update

A run without room elsewhere stayed on its departing worker even if it couldn't end, did more work that was lost, and as a gang kept workers that stay. It is stopped now if its chance to end is below 5 %. The chance takes all overruns of past drains into account instead of their median. A gang whose only room is on workers that are replaced next isn't moved there.

--- a/pimentobridge/core/scheduling/departures.py
+++ b/pimentobridge/core/scheduling/departures.py
@@ -9,7 +9,6 @@
 
 import collections
 import dataclasses
-import statistics
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -19,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
@@ -179,15 +179,15 @@
             return None
         return max(0.0, drain.leaves_at_s - self._clock.monotonic())
 
-    def expected_overrun_s(self, worker: fleet.TrackedWorker) -> float:
-        """Returns for how long a worker probably serves beyond its notice.
+    def overruns_s(self, worker: fleet.TrackedWorker) -> Sequence[float]:
+        """Returns for how long workers have served beyond their notices.
 
-        The median of past drains; 0 without any, and after a short notice.
+        0 without any past departure, and for a worker with a short notice.
         """
         drain = self._drains_by_key.get(worker.key)
         if drain is None or drain.is_short or not self._overruns_s:
-            return 0.0
-        return statistics.median(self._overruns_s)
+            return (0.0,)
+        return self._overruns_s
 
     # Workers that are expected to depart.
 
--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -3,8 +3,8 @@
 To move a run is to stop it, so that it starts again elsewhere. A run that saves
 checkpoints loses nothing by that; it is moved as soon as there is room for it
 elsewhere, and otherwise just before its worker departs. Another run starts from
-the beginning, so it is moved only if it would probably be lost where it is and
-there is room for it elsewhere now.
+the beginning, so it is moved only if it would probably be lost where it is, and
+without room for it elsewhere only if it can't end in time at all.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import collections
 import dataclasses
 import enum
+import statistics
 from typing import TYPE_CHECKING
 
 from pimentobridge.core import clock as clock_lib
@@ -31,6 +32,7 @@
     from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from pimentobridge.core import types
     from pimentobridge.core.scheduling import departures as departures_lib
@@ -58,6 +60,10 @@
 MOVE_S = MAX_STOP_S + 2 * ORDER_S
 # A run that is more likely than this to end in time isn't moved.
 LIKELY = 0.5
+# A run without room elsewhere is moved only if its chance to end in time is
+# below this: it waits for room in any case, and from its stop on it neither
+# holds resources on workers that stay nor does work that is lost.
+HOPELESS = 0.05
 # A run that saves checkpoints isn't stopped at the last moment if it is about
 # to end with this chance; if it doesn't, the work since its last checkpoint is
 # lost.
@@ -73,10 +79,12 @@
     """What becomes of a run on a departing worker, and why."""
 
     MOVE_TO_ROOM = "room elsewhere"
+    MOVE_HOPELESS = "can't end in time"
     MOVE_BEFORE_DEPARTURE = "worker about to depart"
     MOVE_UNKNOWN_DEPARTURE = "time of departure unknown"
     STAY_ENDS_IN_TIME = "expected to end in time"
     STAY_COSTS_LESS = "a new start is expected to end later"
+    STAY_ALL_REPLACED = "room only on workers that are replaced next"
     STAY_NO_ROOM = "no room elsewhere"
 
     @property
@@ -84,6 +92,7 @@
         """Whether the run is moved."""
         return self in (
             _Verdict.MOVE_TO_ROOM,
+            _Verdict.MOVE_HOPELESS,
             _Verdict.MOVE_BEFORE_DEPARTURE,
             _Verdict.MOVE_UNKNOWN_DEPARTURE,
         )
@@ -98,12 +107,12 @@
         leaves_in_s: minimum time until the first of its workers departs;
             infinite for one that is evacuated without a time, None if a worker
             hasn't said.
-        overrun_s: for how long that worker probably serves beyond it.
+        overruns_s: for how long past workers have served beyond it.
     """
 
     members: list[ledger.RunEntry]
     leaves_in_s: float | None
-    overrun_s: float
+    overruns_s: Sequence[float]
 
     @property
     def first(self) -> ledger.RunEntry:
@@ -260,24 +269,19 @@
         )
 
     def _departing_run(self, members: list[ledger.RunEntry]) -> _DepartingRun:
-        times = []
+        first: fleet.TrackedWorker | None = None
+        first_s = float("inf")
         for key in {_worker_of(member) for member in members}:
             worker = self._workers_by_incarnation.get(key)
             if worker is None or not self._departs(worker):
                 continue
-            times.append(
-                (
-                    self._leaves_in_s(worker),
-                    self._departures.expected_overrun_s(worker),
-                )
-            )
-        if any(leaves_in_s is None for leaves_in_s, _ in times):
-            return _DepartingRun(members, None, 0.0)
-        # The first to depart ends the run for all members.
-        leaves_in_s, overrun_s = min(
-            times, key=lambda row: (row[0] or 0.0) + row[1]
-        )
-        return _DepartingRun(members, leaves_in_s, overrun_s)
+            leaves_in_s = self._leaves_in_s(worker)
+            if leaves_in_s is None:
+                return _DepartingRun(members, None, (0.0,))
+            if first is None or leaves_in_s < first_s:
+                first, first_s = worker, leaves_in_s
+        overruns_s = self._departures.overruns_s(first) if first else (0.0,)
+        return _DepartingRun(members, first_s, overruns_s)
 
     def _leaves_in_s(self, worker: fleet.TrackedWorker) -> float | None:
         if worker.incarnation is not None and not worker.incarnation.draining:
@@ -359,8 +363,15 @@
         self._without_room: set[advice_lib.StepName] = set()
         self._saved_by_priority: dict[int, placement.FreeResources] = {}
 
-    def find(self, run: _DepartingRun) -> list[runs.IncarnationKey] | None:
-        """Returns a worker for each member, or None if there is no room."""
+    def find(
+        self, run: _DepartingRun, *, anywhere: bool = False
+    ) -> list[runs.IncarnationKey] | None:
+        """Returns a worker for each member, or None if there is no room.
+
+        Args:
+            run: the run.
+            anywhere: whether to include the workers that are unfit.
+        """
         name = advice_lib.StepName(*run.first.name[:3])
         if name in self._without_room:
             return None
@@ -373,7 +384,7 @@
             for key, amount in self._saved_runs(demand.priority).items():
                 free_by_key[key] += amount
         for key, worker in self._candidates.workers_by_key.items():
-            if self._is_unfit(worker, demand):
+            if not anywhere and self._is_unfit(worker, demand):
                 free_by_key[key] = model.NO_RESOURCES
         assigned = placement.place(
             self._candidates, demand, free_by_key=free_by_key
@@ -450,16 +461,25 @@
     """
     if run.leaves_in_s is None or run.leaves_in_s == float("inf"):
         return _Verdict.STAY_COSTS_LESS
-    left_s = run.leaves_in_s + run.overrun_s
-    chance = end_chances.chance_of_end(run.members, left_s, now_s)
+    left_s = run.leaves_in_s + statistics.mean(run.overruns_s)
+    chance = statistics.mean(
+        end_chances.chance_of_end(
+            run.members, run.leaves_in_s + overrun_s, now_s
+        )
+        for overrun_s in run.overruns_s
+    )
     if chance >= LIKELY:
         return _Verdict.STAY_ENDS_IN_TIME
     done_s = max(member.execution_time_s(now_s) for member in run.members)
     if (1 - chance) * left_s <= chance * done_s + MOVE_S:
         return _Verdict.STAY_COSTS_LESS
-    if room.find(run) is None:
-        return _Verdict.STAY_NO_ROOM
-    return _Verdict.MOVE_TO_ROOM
+    if room.find(run) is not None:
+        return _Verdict.MOVE_TO_ROOM
+    if run.step.gang and room.find(run, anywhere=True) is not None:
+        return _Verdict.STAY_ALL_REPLACED
+    if chance < HOPELESS:
+        return _Verdict.MOVE_HOPELESS
+    return _Verdict.STAY_NO_ROOM
 
 
 def _may_move_service(
--- a/pimentobridge/lab/machines.py
+++ b/pimentobridge/lab/machines.py
@@ -149,6 +149,9 @@
         self._removed = False
         self._booted_s = -UPTIME_S
         self._incarnation = 0
+        # Each drain replaces the runner's software by the next version.
+        self._version = 1
+        self._departs_s = 0.0
 
     def _new_runner(
         self, worker: str | None = None
@@ -237,7 +240,13 @@
                     "service": SERVICE,
                     "address": self.node,
                     "zone": "north-a",
+                    "version": f"v{self._version}",
                     "state": "draining" if runner.draining else "ready",
+                    "remainingMs": (
+                        max(0.0, self._departs_s - trio.current_time()) * 1000
+                        if runner.draining
+                        else None
+                    ),
                     "capacity": {
                         "cpu": runner.capacity.cpu_millicores,
                         "memMb": runner.capacity.memory_mib,
@@ -316,6 +325,7 @@
         """
         drained = self.runner
         drained.draining = True
+        self._departs_s = trio.current_time() + drain_s
         await trio.sleep(drain_s)
         if self.agent is not None:
             self.agent.on_deregistered(drained.worker)
@@ -324,6 +334,7 @@
             drained.crash()
         await trio.sleep(RESTART_DELAY_S)
         if self.runner is drained:
+            self._version += 1
             self.runner = self._new_runner()
 
     def power_off(self) -> None:
