--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -14,11 +14,13 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import crashes
+from pimentobridge.core.scheduling import departures
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
 from pimentobridge.core.scheduling import lease_expiry
 from pimentobridge.core.scheduling import ledger
+from pimentobridge.core.scheduling import lost_work
 from pimentobridge.core.scheduling import pass_requests
 from pimentobridge.core.scheduling import run_ends
 
@@ -59,6 +61,9 @@
         needs_pass: a scheduling pass of the planner is due.
         passes: requests for passes at a time.
         incomplete: an error has ended the processing of a worker's report.
+        departures: workers that depart or are expected to.
+        evacuation: moves runs off departing workers.
+        lost_work: counters of the work that runs have lost.
     """
 
     def __init__(
@@ -89,6 +94,17 @@
         self.needs_pass = True
         self.incomplete = False
         self.advice = advice_lib.AdviceCache()
+        self.departures = departures.Departures(
+            self.workers_by_incarnation, clock=clock, log=log
+        )
+        self.evacuation = evacuation.Evacuation(
+            self.workers_by_incarnation,
+            self.departures,
+            self.passes,
+            clock=clock,
+            log=log,
+        )
+        self.lost_work = lost_work.LostWork()
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
     # Jobs.
@@ -225,6 +241,7 @@
         self._update_incarnation(worker, agent, observation.incarnation)
         worker.reachable = observation.reachable
         worker.agent_state = observation.agent_state
+        self.departures.on_report(worker)
         if not worker.distrusted:
             self._apply_reported_runs(worker, observation)
         if not worker.reachable:
@@ -234,13 +251,6 @@
         if observation.terminated:
             self._count_crashes(worker, agent, observation)
             self._remove_incarnation(key, "incarnation ended")
-        elif observation.incarnation.draining:
-            evacuation.evacuate(
-                worker,
-                self.workers_by_incarnation,
-                self._clock.monotonic(),
-                self._log,
-            )
 
     def _update_incarnation(
         self,
@@ -255,6 +265,7 @@
                 born_ms=incarnation.key.started_ms,
                 draining=incarnation.draining,
                 leaves_in_s=incarnation.leaves_in_s,
+                version=incarnation.version,
             )
             self.needs_pass = True
         self.incarnation_by_agent[agent] = incarnation.key
@@ -303,7 +314,9 @@
         """
         for key in keys:
             if key not in worker.running_keys:
-                self._release_run(worker, key, reason)
+                self._release_run(
+                    worker, key, reason, self.lost_work.on_stop_confirmed
+                )
 
     def _remove_replaced_incarnations(
         self, agent: types.Address, observation: runs.Observation
@@ -349,6 +362,7 @@
         worker = self.workers_by_incarnation.pop(key, None)
         if worker is None:
             return
+        self.departures.on_removed(worker)
         self._log(
             "worker lost",
             worker=key.worker,
@@ -356,7 +370,9 @@
             reason=reason,
         )
         for run in list(worker.entries_by_key):
-            self._release_run(worker, run, reason)
+            self._release_run(
+                worker, run, reason, self.lost_work.on_worker_lost
+            )
         self.needs_pass = True
 
     def _update_running(
@@ -368,6 +384,9 @@
             entry = worker.entries_by_key.get(task.key)
             if entry is not None:
                 entry.observed.update(task.percent, self._clock.monotonic())
+                entry.observed.update_checkpoint(
+                    task.checkpoint, self._clock.monotonic()
+                )
                 self._update_checkpoint(entry, task.checkpoint)
             elif task.key not in ended:
                 untracked[task.key] = ledger.footprint_of(
@@ -416,6 +435,7 @@
             return
         self.needs_pass = True
         tracked, unit = entry.tracked, entry.unit
+        now_s = self._clock.monotonic()
         self._log(
             "run ended",
             job=tracked.id,
@@ -423,7 +443,8 @@
             run=end.key.run,
             worker=worker.key.worker,
             cause=end.cause.value,
-            ran_s=round(entry.execution_time_s(self._clock.monotonic()), 2),
+            ran_s=round(entry.execution_time_s(now_s), 2),
+            lost_core_s=round(self.lost_work.on_end(entry, end, now_s), 1),
         )
         if unit.run == entry.run:
             unit.placements[entry.member].released = True
@@ -446,7 +467,13 @@
         worker.unacknowledged_ends.append((end.number, completed, change))
 
     def _release_run(
-        self, worker: fleet.TrackedWorker, key: runs.RunKey, reason: str
+        self,
+        worker: fleet.TrackedWorker,
+        key: runs.RunKey,
+        reason: str,
+        count_lost_work: Callable[
+            [ledger.RunEntry, fleet.TrackedWorker], float
+        ],
     ) -> None:
         """Releases a run that certainly doesn't execute and never will."""
         entry = worker.remove(key)
@@ -466,6 +493,7 @@
             report_age_s=round(
                 self._clock.monotonic() - worker.last_report_s, 3
             ),
+            lost_core_s=round(count_lost_work(entry, worker), 1),
         )
         if unit.run != entry.run or (
             unit.status is progress_lib.UnitStatus.DONE
