Learn the speeds of workers and the durations of tasks, and place by them

Urgent jobs with a target of 1.5 times their work were late merely because they ran on a slow worker. Speeds are learned from the progress of runs, durations from runs that ended as done; the preference 'pace' sends urgent units to fast workers and others to slow ones, gangs go to workers of similar speed, and an urgent unit may preempt with a small loss where that puts it in time. bounds.remoteFactor is read from the settings.

--- a/pimentobridge/core/jobs/observed_progress.py
+++ b/pimentobridge/core/jobs/observed_progress.py
@@ -3,9 +3,21 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import NamedTuple
 
 # Progress from which a run's rate is known.
 MIN_SEEN_PERCENT = 5
+# Least length and progress of a segment. Reports come twice a second and state
+# whole percentages, so shorter ones say little about the rate.
+MIN_SEGMENT_S = 1.0
+MIN_SEGMENT_PERCENT = 3
+
+
+class Segment(NamedTuple):
+    """Progress that a run has made in some time."""
+
+    percent: int
+    seconds: float
 
 
 @dataclasses.dataclass
@@ -18,12 +30,15 @@
         progressed_s: monotonic time at which its progress last increased.
         first_percent: progress when it was first reported; above 0 for a run
             that had started before the observer did.
+        segment_from: progress and monotonic time at which the current segment
+            began; None before the first progress.
     """
 
     percent: int | None = None
     started_s: float | None = None
     progressed_s: float = 0.0
     first_percent: int = 0
+    segment_from: tuple[int, float] | None = None
 
     def update(self, percent: int, now_s: float) -> None:
         """Updates the progress from a report."""
@@ -34,6 +49,28 @@
             self.progressed_s = now_s
         self.percent = percent
 
+    def take_segment(self) -> Segment | None:
+        """Returns the latest segment once it is long enough, and begins one.
+
+        The time before the first progress doesn't count, as members of a gang
+        may start late, nor do reports at 100 %, as they may wait for others.
+        """
+        percent = self.percent
+        if percent is None or percent <= self.first_percent or percent >= 100:
+            return None
+        if self.segment_from is None:
+            self.segment_from = percent, self.progressed_s
+            return None
+        from_percent, from_s = self.segment_from
+        segment = Segment(percent - from_percent, self.progressed_s - from_s)
+        if (
+            segment.percent < MIN_SEGMENT_PERCENT
+            or segment.seconds < MIN_SEGMENT_S
+        ):
+            return None
+        self.segment_from = percent, self.progressed_s
+        return segment
+
     @property
     def worked_s(self) -> float:
         """Time from the first report to the latest progress, in seconds.
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -14,6 +14,7 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import crashes
+from pimentobridge.core.scheduling import durations as durations_lib
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
@@ -21,6 +22,7 @@
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import pass_requests
 from pimentobridge.core.scheduling import run_ends
+from pimentobridge.core.scheduling import speeds as speeds_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,6 +61,8 @@
         needs_pass: a scheduling pass of the planner is due.
         passes: requests for passes at a time.
         incomplete: an error has ended the processing of a worker's report.
+        durations: expected run times of tasks.
+        speeds: speeds of the workers.
     """
 
     def __init__(
@@ -89,6 +93,10 @@
         self.needs_pass = True
         self.incomplete = False
         self.advice = advice_lib.AdviceCache()
+        self.durations = durations_lib.Durations()
+        self.speeds = speeds_lib.Speeds(
+            self.workers_by_incarnation, self.durations, log
+        )
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
     # Jobs.
@@ -137,6 +145,7 @@
         self.jobs_by_id.pop(job, None)
         self.dirty_by_id.pop(job, None)
         self.advice.forget_job(job)
+        self.durations.forget_job(job)
 
     def _add_recorded_runs(self, tracked: ledger.TrackedJob) -> None:
         """Adds the runs in a job's recorded progress to their workers."""
@@ -257,6 +266,8 @@
                 leaves_in_s=incarnation.leaves_in_s,
             )
             self.needs_pass = True
+        if worker.incarnation is None:
+            self.speeds.on_new_incarnation(agent)
         self.incarnation_by_agent[agent] = incarnation.key
         worker.agent, worker.incarnation = agent, incarnation
         worker.last_report_s = self._clock.monotonic()
@@ -367,7 +378,9 @@
         for task in observation.running:
             entry = worker.entries_by_key.get(task.key)
             if entry is not None:
-                entry.observed.update(task.percent, self._clock.monotonic())
+                now_s = self._clock.monotonic()
+                entry.observed.update(task.percent, now_s)
+                self.speeds.on_progress(worker, entry, now_s)
                 self._update_checkpoint(entry, task.checkpoint)
             elif task.key not in ended:
                 untracked[task.key] = ledger.footprint_of(
@@ -426,6 +439,8 @@
             ran_s=round(entry.execution_time_s(self._clock.monotonic()), 2),
         )
         if unit.run == entry.run:
+            if end.cause is runs.EndCause.DONE:
+                self._learn_duration(entry)
             unit.placements[entry.member].released = True
             self._run_ends.apply(worker, entry, end)
             self.mark_changed(tracked)
@@ -433,6 +448,13 @@
             (end.number, tracked, tracked.changes)
         )
 
+    def _learn_duration(self, entry: ledger.RunEntry) -> None:
+        speed = self.speeds.speed_of_run(entry)
+        if speed is not None:
+            self.durations.on_done(
+                entry, speed=speed, now_s=self._clock.monotonic()
+            )
+
     def _on_end_of_untracked_run(
         self, worker: fleet.TrackedWorker, end: runs.EndedRun
     ) -> None:
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -34,6 +34,8 @@
         new_checkpoints: a checkpoint was reported since the last change.
         changed_s: monotonic time of the last change.
         oversize_logged: it was logged that a task is too large for any worker.
+        expected_s_by_step: expected run times of the tasks of steps on a worker
+            of average speed, in seconds, where they are learned.
     """
 
     job: model.Job
@@ -46,6 +48,9 @@
     new_checkpoints: bool = False
     changed_s: float = 0.0
     oversize_logged: bool = False
+    expected_s_by_step: dict[int, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def id(self) -> types.JobId:
@@ -75,6 +80,8 @@
             placement; the run is started once that change is recorded.
         stop_requested: the run must be stopped, for example because its job
             has ended or because it stalled.
+        expected_s: expected run time on its workers, in seconds; 0 if only the
+            step's estimate is known, as after a change of scheduler.
         observed: progress that the worker has reported to this scheduler.
     """
 
@@ -85,6 +92,7 @@
     member: int
     ordered_at_change: int
     stop_requested: bool = False
+    expected_s: float = 0.0
     observed: observed_progress.ObservedProgress = dataclasses.field(
         default_factory=observed_progress.ObservedProgress
     )
@@ -126,9 +134,10 @@
         percent = self.observed.percent
         if percent:
             return elapsed_s * (100 - percent) / percent
-        return max(
-            0.0, (self.step.estimate_s or DEFAULT_ESTIMATE_S) - elapsed_s
+        expected_s = (
+            self.expected_s or self.step.estimate_s or DEFAULT_ESTIMATE_S
         )
+        return max(0.0, expected_s - elapsed_s)
 
     @property
     def is_current(self) -> bool:
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -89,6 +89,8 @@
         preferences: Sequence[preferences_lib.Preference] = (),
     ) -> None:
         self._preferences = preferences
+        self._costed: Demand | None = None
+        self._costs_by_key: dict[runs.IncarnationKey, tuple[float, ...]] = {}
         self.workers_by_key = {worker.key: worker for worker in workers}
         self.free_by_key: FreeResources = {
             key: worker.free for key, worker in self.workers_by_key.items()
@@ -107,8 +109,23 @@
         self, key: runs.IncarnationKey, demand: Demand
     ) -> tuple[float, ...]:
         """Returns what a placement on a worker costs, by preference."""
-        return preferences_lib.costs(
-            self._preferences, self.workers_by_key[key], demand
+        # Kept for the latest unit, which is tried several times if it doesn't
+        # fit at once.
+        if self._costed is not demand:
+            self._costed = demand
+            self._costs_by_key = {}
+        found = self._costs_by_key.get(key)
+        if found is None:
+            found = self._costs_by_key[key] = preferences_lib.costs(
+                self._preferences, self.workers_by_key[key], demand
+            )
+        return found
+
+    @property
+    def slowest_member_decides(self) -> bool:
+        """Whether the last cost of a gang is that of its most costly member."""
+        return bool(self._preferences) and isinstance(
+            self._preferences[-1], preferences_lib.SlowestMemberPreference
         )
 
     def eligible(self, demand: Demand) -> list[fleet.TrackedWorker]:
@@ -192,7 +209,10 @@
             key.worker,
         ),
     )
-    return _assign(order, slots, size)
+    chosen = _assign(order, slots, size)
+    if size == 1 or chosen is None:
+        return chosen
+    return _with_similar_workers(candidates, demand, order, slots, chosen)
 
 
 def _slots_by_worker(
@@ -221,7 +241,8 @@
     """Places all members in one rack, if any has enough slots.
 
     It is the affine rack if that has, or else the one where the most costly
-    member costs least, and of these the one with the fewest slots.
+    member costs least, of these the one where the members differ least in pace,
+    and of these the one with the fewest slots.
     """
     step, size = demand.step, demand.size
     costs_by_key = {key: candidates.costs(key, demand) for key in slots}
@@ -243,9 +264,13 @@
         )
         chosen = _assign(order, slots, size)
         if chosen is not None:
+            chosen = _with_similar_workers(
+                candidates, demand, order, slots, chosen
+            )
             rank = (
                 rack != step.affinity_rack if step.affinity_rack else False,
                 max(costs_by_key[key] for key in chosen),
+                _last_cost_spread(candidates, costs_by_key, chosen),
                 sum(slots[key] for key in keys),
                 rack,
             )
@@ -281,6 +306,52 @@
     return None
 
 
+def _with_similar_workers(
+    candidates: Candidates,
+    demand: Demand,
+    order: list[runs.IncarnationKey],
+    slots: dict[runs.IncarnationKey, int],
+    chosen: list[runs.IncarnationKey],
+) -> list[runs.IncarnationKey]:
+    """Returns workers for a gang that cost about as much as its most costly.
+
+    A gang runs at the pace of its slowest member, so a better worker for
+    another member gains nothing and is left to others. In all other respects
+    the workers are as good as the ones chosen first.
+    """
+    if not candidates.slowest_member_decides:
+        return chosen
+
+    def grade(key: runs.IncarnationKey) -> tuple[float, ...]:
+        return (
+            _is_suspect(candidates, key),
+            _crash_risk(candidates.workers_by_key[key], demand),
+            *candidates.costs(key, demand),
+        )
+
+    grades = {key: grade(key) for key in chosen}
+    worst = max(grades.values())
+    if min(grades.values()) == worst or any(
+        one[:-1] != worst[:-1] for one in grades.values()
+    ):
+        return chosen
+    pool = [key for key in order if worst[:-1] <= grade(key) <= worst]
+    pool.sort(key=lambda key: -candidates.costs(key, demand)[-1])
+    return _assign(pool, slots, len(chosen)) or chosen
+
+
+def _last_cost_spread(
+    candidates: Candidates,
+    costs_by_key: Mapping[runs.IncarnationKey, tuple[float, ...]],
+    chosen: list[runs.IncarnationKey],
+) -> float:
+    """Returns how much the members of a gang differ in pace."""
+    if not candidates.slowest_member_decides:
+        return 0.0
+    last = [costs_by_key[key][-1] for key in chosen]
+    return max(last) - min(last)
+
+
 def _is_suspect(candidates: Candidates, key: runs.IncarnationKey) -> bool:
     """Returns whether runs have failed on the worker since its last success.
 
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -13,9 +13,11 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
+from pimentobridge.core.scheduling import faster_workers
 from pimentobridge.core.scheduling import guarantees
 from pimentobridge.core.scheduling import holds
 from pimentobridge.core.scheduling import ledger
+from pimentobridge.core.scheduling import pace as pace_lib
 from pimentobridge.core.scheduling import placement
 from pimentobridge.core.scheduling import preemption
 from pimentobridge.core.scheduling import preferences
@@ -34,6 +36,8 @@
 # Waiting units are tried again after this time even without an event, as
 # expected ends and what is held change with time.
 RETRY_INTERVAL_S = 0.5
+# Factor of tasks away from their rack where the settings don't state one.
+DEFAULT_REMOTE_FACTOR = 3.0
 # Limit on the jobs named in a log line.
 MAX_LOGGED_JOBS = 8
 
@@ -66,6 +70,8 @@
         clock: source of time.
         log: writes a log line, given an event text and fields.
         contain: keeps an unexpected error about one job from the others.
+        remote_factor: how many times as long a task takes away from the rack
+            that its step names.
     """
 
     def __init__(
@@ -75,14 +81,19 @@
         clock: clock_lib.Clock,
         log: Callable[..., None],
         contain: contained_error.Contain,
+        remote_factor: float = DEFAULT_REMOTE_FACTOR,
     ) -> None:
         self._engine = engine
         self._clock = clock
         self._log = log
         self._contain = contain
         self._preemptor = preemption.Preemptor(engine, clock=clock, log=log)
+        self._pace = pace_lib.Pace(engine.speeds, remote_factor=remote_factor)
+        self._faster_workers = faster_workers.FasterWorkers(
+            self._pace, self._preemptor, clock=clock, log=log
+        )
         # In the order of their importance, see `preferences`.
-        self._preferences: tuple[preferences.Preference, ...] = ()
+        self._preferences: tuple[preferences.Preference, ...] = (self._pace,)
         # Jobs with units that didn't fit in the current pass.
         self._waiting: list[tuple[ledger.TrackedJob, placement.Demand]] = []
 
@@ -94,6 +105,7 @@
         candidates = placement.Candidates(
             engine.placeable_workers(), self._preferences
         )
+        self._pace.start_pass(candidates.workers_by_key.values(), now_s)
         entitled = self._entitled_jobs()
         capacity = self._largest_worker()
         open_jobs = [
@@ -101,6 +113,7 @@
             for tracked in engine.jobs_by_id.values()
             if not tracked.state.ended
         ]
+        engine.durations.update_jobs(open_jobs)
         open_jobs.sort(
             key=lambda tracked: ranking.rank(
                 tracked,
@@ -127,12 +140,25 @@
         if self._waiting:
             engine.passes.request_at(now_s + RETRY_INTERVAL_S)
 
+    def gauges(self) -> dict[str, float]:
+        """Returns the gauges of the decisions, by metric name."""
+        return self._faster_workers.gauges()
+
     def _place_job(self, tracked: ledger.TrackedJob, current: _Pass) -> None:
         """Places a job's waiting units, makes room for them or holds some."""
         candidates, ends = current.candidates, current.ends
         current.held.apply_to(tracked.job.queue.priority)
         for name, unit in _ready_units(tracked):
             demand = self._demand(tracked, name, unit, current.now_s)
+            if self._faster_workers.make_room(
+                candidates,
+                tracked,
+                demand,
+                guaranteed=tracked.id in current.entitled,
+            ):
+                self._waiting.append((tracked, demand))
+                ends.invalidate()
+                continue
             if self._start(candidates, tracked, name, unit, demand):
                 ends.invalidate()
                 continue
@@ -245,11 +271,19 @@
         if tracked.progress.state is progress_lib.JobState.QUEUED:
             tracked.progress.state = progress_lib.JobState.RUNNING
         engine.mark_changed(tracked)
+        workers = [engine.workers_by_incarnation[key] for key in set(assigned)]
+        expected_s = self._pace.expected_on(workers, demand)
         for member, key in enumerate(assigned):
             name = model.TaskName(*step_name, unit.first + member)
             engine.workers_by_incarnation[key].add(
                 ledger.RunEntry(
-                    tracked, name, unit, unit.run, member, tracked.changes
+                    tracked,
+                    name,
+                    unit,
+                    unit.run,
+                    member,
+                    tracked.changes,
+                    expected_s=expected_s,
                 )
             )
             candidates.reserve(key, step.footprint)
@@ -263,6 +297,7 @@
             workers=sorted({key.worker for key in assigned}),
             request=list(msgspec.structs.astuple(step.request)),
             estimate_s=step.estimate_s,
+            expected_s=round(expected_s, 2),
             checkpointing=step.checkpointing,
             waited_s=round(self._clock.monotonic() - tracked.first_seen_s, 3),
             past=self._jobs_passed(tracked, assigned),
--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -66,6 +66,33 @@
         Returns:
             Whether resources are reserved for the unit in this pass.
         """
+        return self._make_room(
+            candidates, tracked, demand, entitled, small_loss_only=False
+        )
+
+    def make_room_with_small_loss(
+        self,
+        candidates: placement.Candidates,
+        tracked: ledger.TrackedJob,
+        demand: placement.Demand,
+    ) -> bool:
+        """Like `make_room` for a unit that could start without preempting.
+
+        Its account's guarantee and the time that it has waited don't count.
+        """
+        return self._make_room(
+            candidates, tracked, demand, set(), small_loss_only=True
+        )
+
+    def _make_room(
+        self,
+        candidates: placement.Candidates,
+        tracked: ledger.TrackedJob,
+        demand: placement.Demand,
+        entitled: set[types.JobId],
+        *,
+        small_loss_only: bool,
+    ) -> bool:
         projected = dict(candidates.free_by_key)
         for key, amount in self._ending_by_key.items():
             projected[key] += amount
@@ -77,6 +104,7 @@
                 demand,
                 free_by_key=projected,
                 entitled=entitled,
+                small_loss_only=small_loss_only,
             )
         if assigned is None:
             return False
@@ -94,6 +122,7 @@
         *,
         free_by_key: placement.FreeResources,
         entitled: set[types.JobId],
+        small_loss_only: bool,
     ) -> list[runs.IncarnationKey] | None:
         """Stops runs for a unit if that doesn't discard too much.
 
@@ -127,10 +156,14 @@
             waited_s=waited_s,
             work=reclaim.own_work(demand),
         )
+        if small_loss_only:
+            limit = reclaim.SMALL_LOSS
         if chosen.lost_work <= limit:
             for victim in chosen.victims:
                 self._stop_victim(victim, tracked, chosen.lost_work)
             return chosen.assigned
+        if small_loss_only:
+            return None
         # A pass is due when the limit rises, even without another change.
         rise_s = reclaim.next_rise_s(guaranteed=guaranteed, waited_s=waited_s)
         if rise_s is not None:
--- a/pimentobridge/core/scheduling/preferences.py
+++ b/pimentobridge/core/scheduling/preferences.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import abc
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -31,6 +32,20 @@
         ...
 
 
+class SlowestMemberPreference(abc.ABC):
+    """A preference by which a gang costs what its most costly member costs.
+
+    If it is the last one, a gang leaves cheaper workers to others once it needs
+    a more costly one anyway.
+    """
+
+    @abc.abstractmethod
+    def cost(
+        self, worker: fleet.TrackedWorker, demand: placement.Demand
+    ) -> float:
+        """Returns the cost, see `Preference`."""
+
+
 def costs(
     preferences: Sequence[Preference],
     worker: fleet.TrackedWorker,
--- a/pimentobridge/core/scheduling/ranking.py
+++ b/pimentobridge/core/scheduling/ranking.py
@@ -34,7 +34,14 @@
 
 
 def expected_s(tracked: ledger.TrackedJob, step_number: int) -> float:
-    """Returns the expected run time of a step's tasks, in seconds."""
+    """Returns the expected run time of a step's tasks, in seconds.
+
+    It is for a worker of average speed: the learned one, see `durations`, or
+    else the caller's estimate.
+    """
+    learned_s = tracked.expected_s_by_step.get(step_number)
+    if learned_s is not None:
+        return learned_s
     step = tracked.step_of(step_number)
     return step.estimate_s or ledger.DEFAULT_ESTIMATE_S
 
--- a/pimentobridge/core/scheduling/reclaim.py
+++ b/pimentobridge/core/scheduling/reclaim.py
@@ -84,8 +84,10 @@
 def own_work(demand: placement.Demand) -> float:
     """Returns the work that a unit is expected to do, in core-seconds."""
     step = demand.step
-    estimate_s = step.estimate_s or ledger.DEFAULT_ESTIMATE_S
-    return demand.size * _cores_of(step) * estimate_s
+    expected_s = (
+        demand.expected_s or step.estimate_s or ledger.DEFAULT_ESTIMATE_S
+    )
+    return demand.size * _cores_of(step) * expected_s
 
 
 def loss_limit(
--- /dev/null
+++ b/pimentobridge/core/scheduling/speeds.py
@@ -0,0 +1,340 @@
+"""Learns the speed of each worker's machine from the progress of its runs.
+
+The tasks of one step have the same work, so their rates of progress on several
+workers compare directly. Steps of different jobs compare only through learned
+durations. A gang moves at the pace of its slowest member: the progress of a
+member bounds the speed of its worker from below, and tells how fast the slowest
+of them is.
+
+Speeds, work and rates are logarithms here: the rate of a task is the speed of
+its worker less the task's work. The speeds are estimated by least squares with
+outliers weighted down.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from pimentobridge.core.scheduling import durations as durations_lib
+from pimentobridge.core.scheduling import remoteness
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from pimentobridge.core import types
+    from pimentobridge.core.jobs import observed_progress
+    from pimentobridge.core.jobs import runs
+    from pimentobridge.core.scheduling import fleet
+    from pimentobridge.core.scheduling import ledger
+
+HALF_LIFE_S = 60.0
+# Speeds are estimated anew at most this often, as that costs some milliseconds
+# with hundreds of runs.
+UPDATE_INTERVAL_S = 1.0
+# Number of passes over the observations in one update. The result of the last
+# update is the start of the next one.
+SWEEPS = 4
+# Variance of speeds among workers before any observation.
+PRIOR_VARIANCE = 0.16
+# Error of a measured rate: of the percentages, which are whole numbers, of the
+# times of the reports that name them, and what remains otherwise.
+PERCENT_ERROR = 0.6
+REPORT_TIME_ERROR_S = 0.15
+RATE_ERROR = 0.05
+# Most that the observations of one step on one worker count together: whatever
+# else slows its tasks there is common to all of them.
+MAX_PRECISION = 100.0
+# An observation counts less in proportion once it is off by more than this.
+OUTLIER = 0.3
+# Members whose estimated speeds differ by this much share the blame for a slow
+# gang in a proportion of e to 1.
+MEMBER_SCALE = 0.15
+# Differences from the average speed that may be due to chance only: a fleet of
+# equal workers is treated as such.
+MIN_DIFFERENCE = 0.1
+# Observations with less weight than this are dropped.
+MIN_PRECISION = 0.5
+
+
+@dataclasses.dataclass
+class _Observation:
+    """Rate of progress of a step's tasks on one worker.
+
+    Attributes:
+        rate: logarithm of the share of the task done per second.
+        precision: inverse of its variance.
+        at_s: monotonic time for which `precision` is.
+    """
+
+    rate: float = 0.0
+    precision: float = 0.0
+    at_s: float = 0.0
+
+    def decay(self, now_s: float) -> None:
+        self.precision *= 0.5 ** ((now_s - self.at_s) / HALF_LIFE_S)
+        self.at_s = now_s
+
+    def add(self, rate: float, precision: float, now_s: float) -> None:
+        self.decay(now_s)
+        total = self.precision + precision
+        self.rate += (rate - self.rate) * precision / total
+        self.precision = min(MAX_PRECISION, total)
+
+
+@dataclasses.dataclass
+class _Team:
+    """Workers that move at a common pace: those of a gang, or a single one.
+
+    Attributes:
+        trust: weight from 0 to 1, low for an outlier.
+    """
+
+    by_agent: dict[types.Address, _Observation] = dataclasses.field(
+        default_factory=dict
+    )
+    trust: float = 1.0
+    rate: float = 0.0
+    precision: float = 0.0
+
+    def summarize(self, now_s: float) -> None:
+        """Computes the common rate from the members' observations."""
+        for agent, observation in list(self.by_agent.items()):
+            observation.decay(now_s)
+            if observation.precision < MIN_PRECISION:
+                del self.by_agent[agent]
+        known = self.by_agent.values()
+        self.precision = max((one.precision for one in known), default=0.0)
+        self.rate = min(
+            (one.rate for one in known if one.precision * 2 >= self.precision),
+            default=0.0,
+        )
+
+    def slowest(self, speeds: Mapping[types.Address, float]) -> float:
+        """Returns the lowest speed of the members' workers."""
+        return min(speeds.get(agent, 0.0) for agent in self.by_agent)
+
+
+# A step of an occurrence of a job: its tasks have the same work.
+_StepKey = tuple[str, int, int]
+
+
+@dataclasses.dataclass
+class _Step:
+    """Observations of one step's tasks.
+
+    Attributes:
+        prior: the work by learned durations; None if none are.
+        teams_by_key: by run for a gang, or else by agent.
+    """
+
+    prior: durations_lib.Expectation | None
+    teams_by_key: dict[object, _Team] = dataclasses.field(default_factory=dict)
+
+
+class Speeds:
+    """Speeds of the workers' machines, of which 1.0 is the average.
+
+    Args:
+        workers_by_incarnation: the workers, to tell which runs are slow for
+            other reasons.
+        durations: expected work of tasks.
+        log: writes a log line, given an event text and fields.
+    """
+
+    def __init__(
+        self,
+        workers_by_incarnation: Mapping[
+            runs.IncarnationKey, fleet.TrackedWorker
+        ],
+        durations: durations_lib.Durations,
+        log: Callable[..., None],
+    ) -> None:
+        self._workers_by_incarnation = workers_by_incarnation
+        self._durations = durations
+        self._log = log
+        self._steps_by_key: dict[_StepKey, _Step] = {}
+        self._log_speeds: dict[types.Address, float] = {}
+        self._logged_by_agent: dict[types.Address, float] = {}
+        self._updated_s = float("-inf")
+        self._changed = False
+
+    def on_progress(
+        self, worker: fleet.TrackedWorker, entry: ledger.RunEntry, now_s: float
+    ) -> None:
+        """Learns from the progress of a run that its worker has reported."""
+        segment = entry.observed.take_segment()
+        if (
+            segment is None
+            or worker.agent is None
+            or not entry.is_current
+            or entry.step.long_running
+            or remoteness.is_slowed(entry, self._workers_by_incarnation)
+        ):
+            return
+        name = entry.name
+        key = (str(name.job), name.occurrence, name.step)
+        step = self._steps_by_key.get(key)
+        if step is None:
+            prior = self._durations.expectation(entry.tracked, name.step)
+            step = self._steps_by_key[key] = _Step(prior)
+        team_key = entry.run if entry.step.gang else worker.agent
+        team = step.teams_by_key.setdefault(team_key, _Team())
+        observation = team.by_agent.setdefault(
+            worker.agent, _Observation(at_s=now_s)
+        )
+        rate = math.log(segment.percent / 100 / segment.seconds)
+        observation.add(rate, _precision(segment), now_s)
+        self._changed = True
+
+    def on_new_incarnation(self, agent: types.Address) -> None:
+        """Halves the weight of what is known of a machine.
+
+        The worker on it has restarted, and may have changed.
+        """
+        for step in self._steps_by_key.values():
+            for team in step.teams_by_key.values():
+                if agent in team.by_agent:
+                    team.by_agent[agent].precision /= 2
+                    self._changed = True
+
+    def update(self, now_s: float) -> None:
+        """Estimates the speeds anew, if that is due."""
+        if not self._changed or now_s - self._updated_s < UPDATE_INTERVAL_S:
+            return
+        self._changed = False
+        self._updated_s = now_s
+        self._summarize(now_s)
+        for _ in range(SWEEPS):
+            self._sweep()
+        self._log_changes()
+
+    def speed_of(self, agent: types.Address | None) -> float:
+        """Returns the speed of a machine; 1.0 if it isn't known to differ."""
+        if agent is None:
+            return 1.0
+        difference = self._log_speeds.get(agent, 0.0)
+        return math.exp(difference) if abs(difference) > MIN_DIFFERENCE else 1.0
+
+    def speed_of_run(self, entry: ledger.RunEntry) -> float | None:
+        """Returns the speed at which a run moves; that of its slowest worker.
+
+        None if other causes slow it as well.
+        """
+        if remoteness.is_slowed(entry, self._workers_by_incarnation):
+            return None
+        return min(
+            (self.speed_of(place.agent) for place in entry.unit.placements),
+            default=1.0,
+        )
+
+    def gauges(self) -> dict[str, float]:
+        """Returns the gauges of the speeds, by metric name."""
+        speeds = [self.speed_of(agent) for agent in self._log_speeds]
+        return {
+            "workers_of_known_speed": len(speeds),
+            "slowest_worker_speed": min(speeds, default=1.0),
+            "fastest_worker_speed": max(speeds, default=1.0),
+        }
+
+    def _summarize(self, now_s: float) -> None:
+        for step_key, step in list(self._steps_by_key.items()):
+            for key, team in list(step.teams_by_key.items()):
+                team.summarize(now_s)
+                if not team.by_agent:
+                    del step.teams_by_key[key]
+            if not step.teams_by_key:
+                del self._steps_by_key[step_key]
+
+    def _sweep(self) -> None:
+        """Improves the speeds by one pass over all observations."""
+        sums: dict[types.Address, list[float]] = {}
+        for step in self._steps_by_key.values():
+            for agent, speed, weight in _evidence(step, self._log_speeds):
+                total = sums.setdefault(agent, [1 / PRIOR_VARIANCE, 0.0])
+                total[0] += weight
+                total[1] += weight * speed
+        speeds = {agent: total[1] / total[0] for agent, total in sums.items()}
+        average = sum(speeds.values()) / max(1, len(speeds))
+        self._log_speeds = {
+            agent: speed - average for agent, speed in speeds.items()
+        }
+
+    def _log_changes(self) -> None:
+        """Logs the speeds that have changed by more than chance explains."""
+        for agent, value in self._log_speeds.items():
+            logged = self._logged_by_agent.get(agent, 0.0)
+            if abs(value - logged) > 2 * MIN_DIFFERENCE:
+                self._logged_by_agent[agent] = value
+                self._log(
+                    "worker speed learned",
+                    agent=agent,
+                    speed=round(math.exp(value), 2),
+                    before=round(math.exp(logged), 2),
+                )
+
+
+def _precision(segment: observed_progress.Segment) -> float:
+    variance = (
+        (PERCENT_ERROR / segment.percent) ** 2
+        + (REPORT_TIME_ERROR_S / segment.seconds) ** 2
+        + RATE_ERROR**2
+    )
+    return 1 / variance
+
+
+def _evidence(
+    step: _Step, speeds: Mapping[types.Address, float]
+) -> Iterable[tuple[types.Address, float, float]]:
+    """Yields what a step's observations say of speeds: agent, speed, weight.
+
+    Each team is compared with the step's work by the other teams and by the
+    learned durations.
+    """
+    prior = step.prior
+    weight = 1 / prior.variance if prior is not None else 0.0
+    work = weight * prior.mean if prior is not None else 0.0
+    rows = []
+    for team in step.teams_by_key.values():
+        slowest = team.slowest(speeds)
+        precision = team.precision * team.trust
+        rows.append((team, slowest, precision))
+        weight += precision
+        work += precision * (slowest - team.rate)
+    for team, slowest, precision in rows:
+        others = weight - precision
+        if others < MIN_PRECISION:
+            continue
+        others_work = (work - precision * (slowest - team.rate)) / others
+        error = others_work + team.rate - slowest
+        team.trust = min(1.0, OUTLIER / abs(error)) if error else 1.0
+        for agent, speed, share in _shares(team, others_work, speeds):
+            yield agent, speed, share / (1 / precision + 1 / others)
+
+
+def _shares(
+    team: _Team, work: float, speeds: Mapping[types.Address, float]
+) -> Iterable[tuple[types.Address, float, float]]:
+    """Yields what a team's rate says of its members: agent, speed, weight.
+
+    A member that seems slower than the rate allows is faster. Of the others,
+    the slowest ones are as fast as the team.
+    """
+    if len(team.by_agent) == 1:
+        yield next(iter(team.by_agent)), work + team.rate, 1.0
+        return
+    slowest = team.slowest(speeds)
+    blame = {
+        agent: math.exp((slowest - speeds.get(agent, 0.0)) / MEMBER_SCALE)
+        for agent in team.by_agent
+    }
+    total = sum(blame.values())
+    for agent, observation in team.by_agent.items():
+        least = work + observation.rate
+        if speeds.get(agent, 0.0) < least:
+            yield agent, least, 1.0
+        else:
+            yield agent, work + team.rate, blame[agent] / total
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -103,6 +103,7 @@
             clock=clock,
             log=logs.event,
             contain=containment.contained,
+            remote_factor=settings.remote_factor,
         )
         self._stalls = stalls.StallDetector(
             self.engine, clock=clock, log=logs.event
@@ -335,6 +336,9 @@
             ),
             "runs": sum(len(worker.entries_by_key) for worker in registered),
             "unrecorded_jobs": len(engine.dirty_by_id),
+            **engine.speeds.gauges(),
+            **engine.durations.gauges(),
+            **self._planner.gauges(),
         }
 
     def pending_by_queue(self) -> dict[str, int]:
--- a/pimentobridge/platform/boot_settings.py
+++ b/pimentobridge/platform/boot_settings.py
@@ -39,6 +39,8 @@
         early_s: seconds by which an occurrence of a scheduled job may start
             before it is due.
         status_s: seconds for which the state of an ended job is kept.
+        remote_factor: how many times as long a task takes away from the rack
+            that its step names.
         link_mbps: bandwidth of the machine's own link, in Mbit/s.
     """
 
@@ -58,6 +60,7 @@
     grace_s: float = 6.0
     early_s: float = 0.25
     status_s: float = 120.0
+    remote_factor: float = 3.0
     link_mbps: float = 1000.0
 
 
@@ -142,5 +145,6 @@
         grace_s=number("bounds.graceS", 6.0),
         early_s=number("bounds.early_ms", 0.25, millisecond),
         status_s=number("bounds.status_s", 120.0),
+        remote_factor=number("bounds.remoteFactor", 3.0),
         link_mbps=number("limits.linkMbps", 1000.0),
     )
