--- a/pimentobridge/core/scheduling/faster_workers.py
+++ b/pimentobridge/core/scheduling/faster_workers.py
@@ -12,7 +12,6 @@
     from collections.abc import Callable
 
     from pimentobridge.core import clock as clock_lib
-    from pimentobridge.core import types
     from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import ledger
     from pimentobridge.core.scheduling import pace as pace_lib
@@ -25,8 +24,6 @@
 # covers the time counts from its submission: the guarantee, all starts within
 # 3.4 s, must not depend on them.
 MAX_WAIT_S = 1.2
-# Jobs that waited are forgotten after this time.
-FORGET_S = 60.0
 
 
 class FasterWorkers:
@@ -54,8 +51,7 @@
         self._preemptor = preemptor
         self._clock = clock
         self._log = log
-        self._waited_from_s_by_job: dict[types.JobId, float] = {}
-        self._waited = 0
+        self._jobs_that_waited = 0
 
     def make_room(
         self,
@@ -97,13 +93,15 @@
 
     def gauges(self) -> dict[str, float]:
         """Returns the gauges of the decisions, by metric name."""
-        return {"jobs_that_waited_for_faster_workers": self._waited}
+        return {"jobs_that_waited_for_faster_workers": self._jobs_that_waited}
 
     def _waited_s(self, tracked: ledger.TrackedJob, guaranteed: bool) -> float:
         now_s = self._clock.monotonic()
         if guaranteed:
             return now_s - tracked.first_seen_s
-        return now_s - self._waited_from_s_by_job.get(tracked.id, now_s)
+        if tracked.awaits_faster_from_s is None:
+            return 0.0
+        return now_s - tracked.awaits_faster_from_s
 
     def _count(
         self,
@@ -111,16 +109,10 @@
         demand: placement.Demand,
         assigned: list[runs.IncarnationKey],
     ) -> None:
-        now_s = self._clock.monotonic()
-        if tracked.id in self._waited_from_s_by_job:
+        if tracked.awaits_faster_from_s is not None:
             return
-        self._waited_from_s_by_job = {
-            job: from_s
-            for job, from_s in self._waited_from_s_by_job.items()
-            if now_s - from_s < FORGET_S
-        }
-        self._waited_from_s_by_job[tracked.id] = now_s
-        self._waited += 1
+        tracked.awaits_faster_from_s = self._clock.monotonic()
+        self._jobs_that_waited += 1
         self._log(
             "unit waits for faster workers",
             job=tracked.id,
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -36,6 +36,8 @@
         oversize_logged: it was logged that a task is too large for any worker.
         expected_s_by_step: expected run times of the tasks of steps on a worker
             of average speed, in seconds, where they are learned.
+        awaits_faster_from_s: monotonic time from which a unit has waited for
+            faster workers although others were free; None if none has.
     """
 
     job: model.Job
@@ -51,6 +53,7 @@
     expected_s_by_step: dict[int, float] = dataclasses.field(
         default_factory=dict
     )
+    awaits_faster_from_s: float | None = None
 
     @property
     def id(self) -> types.JobId:
--- a/pimentobridge/core/scheduling/speeds.py
+++ b/pimentobridge/core/scheduling/speeds.py
@@ -58,6 +58,9 @@
 MIN_DIFFERENCE = 0.1
 # Observations with less weight than this are dropped.
 MIN_PRECISION = 0.5
+# Limit on the teams that are kept, the steps first seen longest ago dropped
+# first. An update of as many takes about 6 ms.
+MAX_TEAMS = 2000
 
 
 @dataclasses.dataclass
@@ -160,7 +163,6 @@
         self._log_speeds: dict[types.Address, float] = {}
         self._logged_by_agent: dict[types.Address, float] = {}
         self._updated_s = float("-inf")
-        self._changed = False
 
     def on_progress(
         self, worker: fleet.TrackedWorker, entry: ledger.RunEntry, now_s: float
@@ -188,7 +190,6 @@
         )
         rate = math.log(segment.percent / 100 / segment.seconds)
         observation.add(rate, _precision(segment), now_s)
-        self._changed = True
 
     def on_new_incarnation(self, agent: types.Address) -> None:
         """Halves the weight of what is known of a machine.
@@ -199,13 +200,12 @@
             for team in step.teams_by_key.values():
                 if agent in team.by_agent:
                     team.by_agent[agent].precision /= 2
-                    self._changed = True
 
     def update(self, now_s: float) -> None:
         """Estimates the speeds anew, if that is due."""
-        if not self._changed or now_s - self._updated_s < UPDATE_INTERVAL_S:
+        known = self._steps_by_key or self._log_speeds
+        if not known or now_s - self._updated_s < UPDATE_INTERVAL_S:
             return
-        self._changed = False
         self._updated_s = now_s
         self._summarize(now_s)
         for _ in range(SWEEPS):
@@ -248,6 +248,12 @@
                     del step.teams_by_key[key]
             if not step.teams_by_key:
                 del self._steps_by_key[step_key]
+        teams = sum(
+            len(step.teams_by_key) for step in self._steps_by_key.values()
+        )
+        while teams > MAX_TEAMS:
+            step_key = next(iter(self._steps_by_key))
+            teams -= len(self._steps_by_key.pop(step_key).teams_by_key)
 
     def _sweep(self) -> None:
         """Improves the speeds by one pass over all observations."""
