Use learned durations also for runs observed before them

Speeds are of use within the first seconds of a term. Observations of gangs from before the first durations counted for nothing; now the durations of each update apply to all. Three ended jobs are enough to learn a duration, as the prior variance already limits what few of them say.

--- a/pimentobridge/core/scheduling/durations.py
+++ b/pimentobridge/core/scheduling/durations.py
@@ -20,7 +20,7 @@
 
 # Jobs that must have ended before anything is derived from them: the spread of
 # fewer says little.
-MIN_JOBS = 5
+MIN_JOBS = 3
 # Number of latest jobs that the figures reflect; older ones fade, so that the
 # figures follow a demand that changes.
 MEMORY_JOBS = 50
--- a/pimentobridge/core/scheduling/speeds.py
+++ b/pimentobridge/core/scheduling/speeds.py
@@ -130,11 +130,13 @@
     """Observations of one step's tasks.
 
     Attributes:
-        prior: the work by learned durations; None if none are.
+        prior: the work by learned durations; None while none are.
         teams_by_key: by run for a gang, or else by agent.
     """
 
-    prior: durations_lib.Expectation | None
+    tracked: ledger.TrackedJob
+    number: int
+    prior: durations_lib.Expectation | None = None
     teams_by_key: dict[object, _Team] = dataclasses.field(default_factory=dict)
 
 
@@ -181,8 +183,7 @@
         key = (str(name.job), name.occurrence, name.step)
         step = self._steps_by_key.get(key)
         if step is None:
-            prior = self._durations.expectation(entry.tracked, name.step)
-            step = self._steps_by_key[key] = _Step(prior)
+            step = self._steps_by_key[key] = _Step(entry.tracked, name.step)
         team_key = entry.run if entry.step.gang else worker.agent
         team = step.teams_by_key.setdefault(team_key, _Team())
         observation = team.by_agent.setdefault(
@@ -242,6 +243,7 @@
 
     def _summarize(self, now_s: float) -> None:
         for step_key, step in list(self._steps_by_key.items()):
+            step.prior = self._durations.expectation(step.tracked, step.number)
             for key, team in list(step.teams_by_key.items()):
                 team.summarize(now_s)
                 if not team.by_agent:
