Leave placement as it was while no worker is known to differ in speed

The factor for remote tasks changed the order of expected ends, and with it what is held and preempted, on fleets without any known speed. It is now used only where speeds differ.

--- a/pimentobridge/core/scheduling/pace.py
+++ b/pimentobridge/core/scheduling/pace.py
@@ -22,8 +22,8 @@
 # small errors of the learned speeds don't decide.
 STEP_FACTOR = 1.25
 # Time that a run takes in addition to its work: the start is recorded and
-# ordered first, with an observed median of 0.19 s, and the end is known with one
-# of the two reports in a second.
+# ordered first, with an observed median of 0.19 s, and the end is known with
+# one of the two reports in a second.
 OVERHEAD_S = 0.4
 # Cost of a late result; above any difference in pace.
 LATE_COST = 1000.0
@@ -38,8 +38,9 @@
 
     Workers on which it would be late come last. Of the others, urgent work
     prefers the fastest, and work that isn't urgent the slowest, so that the
-    fast ones stay free for urgent work. Without known speeds all workers cost
-    the same, apart from those away from the rack that a step names.
+    fast ones stay free for urgent work. While no worker is known to differ from
+    the average, all cost the same, and `remote_factor` isn't used: the rack
+    that a step names is preferred in any case.
 
     Args:
         speeds: the workers' speeds.
@@ -79,7 +80,7 @@
     ) -> float:
         """Returns the expected run time of a member on a worker, in seconds."""
         expected_s = demand.expected_s / self._speed_by_key.get(worker.key, 1.0)
-        if remoteness.is_remote(demand.step, worker):
+        if self.uneven and remoteness.is_remote(demand.step, worker):
             return expected_s * self._remote_factor
         return expected_s
 
@@ -92,7 +93,7 @@
         one rack and isn't.
         """
         expected_s = max(self.expected_s(worker, demand) for worker in workers)
-        if demand.step.same_rack and _are_apart(workers):
+        if self.uneven and demand.step.same_rack and _are_apart(workers):
             return expected_s * self._remote_factor
         return expected_s
 
@@ -117,6 +118,8 @@
         self, worker: fleet.TrackedWorker, demand: placement.Demand
     ) -> float:
         """Returns the cost; see the class."""
+        if not self.uneven:
+            return 0.0
         late = LATE_COST * self.is_late(worker, demand)
         remote = remoteness.is_remote(demand.step, worker)
         steps = self._steps_by_key.get(worker.key, 0)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -14,6 +14,8 @@
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import preferences
+from pimentobridge.testing import crowded_load
 from pimentobridge.testing import engine_harness
 from pimentobridge.testing import uneven_fleet
 
@@ -84,6 +86,37 @@
     assert _workers_of(orders, "a") == [1]
 
 
+# Guards against a change for fleets of which no speed is known.
+def test_workers_of_unknown_speed_are_used_as_without_the_preference(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def placed() -> list[tuple[int, runs.RunKey]]:
+        harness = engine_harness.EngineHarness(40)
+        near = [
+            model.Step(
+                1 + number % 5,
+                engine_harness.GPU,
+                WORK_S,
+                gang=number % 2 == 0,
+                affinity_rack=f"rack-{number % 20}",
+            )
+            for number in range(60)
+        ]
+        return engine_harness.started(
+            harness.submit(
+                *crowded_load.jobs(seed=1, accelerators=400),
+                *(
+                    engine_harness.job(f"b{number:015x}", step, priority=2)
+                    for number, step in enumerate(near)
+                ),
+            )
+        )
+
+    with_preference = placed()
+    monkeypatch.setattr(preferences, "costs", lambda *_: ())
+    assert placed() == with_preference
+
+
 # Guards against fast workers that wait for the slowest member of their gang.
 @pytest.mark.parametrize("same_rack", [False, True])
 def test_a_gang_leaves_faster_workers_to_others(same_rack: bool) -> None:
