--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -15,6 +15,7 @@
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import crashes
 from pimentobridge.core.scheduling import departures
+from pimentobridge.core.scheduling import durations as durations_lib
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
@@ -23,6 +24,7 @@
 from pimentobridge.core.scheduling import lost_work
 from pimentobridge.core.scheduling import pass_requests
 from pimentobridge.core.scheduling import run_ends
+from pimentobridge.core.scheduling import speeds as speeds_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,6 +66,8 @@
         departures: workers that depart or are expected to.
         evacuation: moves runs off departing workers.
         lost_work: counters of the work that runs have lost.
+        durations: expected run times of tasks.
+        speeds: speeds of the workers.
     """
 
     def __init__(
@@ -105,6 +109,10 @@
             log=log,
         )
         self.lost_work = lost_work.LostWork()
+        self.durations = durations_lib.Durations()
+        self.speeds = speeds_lib.Speeds(
+            self.workers_by_incarnation, self.durations, log
+        )
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
     # Jobs.
@@ -153,6 +161,7 @@
         self.jobs_by_id.pop(job, None)
         self.dirty_by_id.pop(job, None)
         self.advice.forget_job(job)
+        self.durations.forget_job(job)
 
     def _add_recorded_runs(self, tracked: ledger.TrackedJob) -> None:
         """Adds the runs in a job's recorded progress to their workers."""
@@ -268,6 +277,8 @@
                 version=incarnation.version,
             )
             self.needs_pass = True
+        if worker.incarnation is None:
+            self.speeds.on_new_incarnation(agent)
         self.incarnation_by_agent[agent] = incarnation.key
         worker.agent, worker.incarnation = agent, incarnation
         worker.last_report_s = self._clock.monotonic()
@@ -383,10 +394,10 @@
         for task in observation.running:
             entry = worker.entries_by_key.get(task.key)
             if entry is not None:
-                entry.observed.update(task.percent, self._clock.monotonic())
-                entry.observed.update_checkpoint(
-                    task.checkpoint, self._clock.monotonic()
-                )
+                now_s = self._clock.monotonic()
+                entry.observed.update(task.percent, now_s)
+                entry.observed.update_checkpoint(task.checkpoint, now_s)
+                self.speeds.on_progress(worker, entry, now_s)
                 self._update_checkpoint(entry, task.checkpoint)
             elif task.key not in ended:
                 untracked[task.key] = ledger.footprint_of(
@@ -447,6 +458,8 @@
             lost_core_s=round(self.lost_work.on_end(entry, end, now_s), 1),
         )
         if unit.run == entry.run:
+            if end.cause is runs.EndCause.DONE:
+                self._learn_duration(entry)
             unit.placements[entry.member].released = True
             self._run_ends.apply(worker, entry, end)
             self.mark_changed(tracked)
@@ -454,6 +467,13 @@
             (end.number, tracked, tracked.changes)
         )
 
+    def _learn_duration(self, entry: ledger.RunEntry) -> None:
+        speed = self.speeds.speed_of_run(entry)
+        if speed is not None:
+            self.durations.on_done(
+                entry, speed=speed, now_s=self._clock.monotonic()
+            )
+
     def _on_end_of_untracked_run(
         self, worker: fleet.TrackedWorker, end: runs.EndedRun
     ) -> None:
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -103,6 +103,7 @@
             clock=clock,
             log=logs.event,
             contain=containment.contained,
+            remote_factor=settings.remote_factor,
         )
         self._stalls = stalls.StallDetector(
             self.engine, clock=clock, log=logs.event
@@ -338,6 +339,9 @@
             **engine.departures.gauges(),
             **engine.evacuation.gauges(),
             **engine.lost_work.gauges(),
+            **engine.speeds.gauges(),
+            **engine.durations.gauges(),
+            **self._planner.gauges(),
         }
 
     def pending_by_queue(self) -> dict[str, int]:
