--- a/pimentobridge/core/scheduling/departures.py
+++ b/pimentobridge/core/scheduling/departures.py
@@ -37,7 +37,7 @@
 # loss costs less than work that waits or runs far from its data.
 LONG_WORK_S = 5.0
 # Number of past departures from which the time beyond a notice is learned.
-OVERRUNS_KEPT = 20
+OVERRUNS_KEPT = 10
 
 # Costs of a placement. A worker that is expected to depart costs more than any
 # place where others have got a short notice.
@@ -291,7 +291,7 @@
             if drain.began_s + UPDATE_WINDOW_S > now_s
             and newest.get(version.service, version) != version
         }
-        for version in self._updated_until_s.keys() - earlier.keys():
+        for version in sorted(self._updated_until_s.keys() - earlier.keys()):
             self._log(
                 "rolling update inferred",
                 service=version.service,
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -10,7 +10,7 @@
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
-from pimentobridge.core.scheduling import evacuation
+from pimentobridge.core.scheduling import move_verdicts
 from pimentobridge.testing import engine_harness
 
 
@@ -179,7 +179,7 @@
     running = (runs.RunningTask(key, "", 10),)
     _drain(harness, 0, 4.0, running=running)
     assert not _stops(harness, key, 10)
-    harness.clock.advance(4.0 - evacuation.LATEST_STOP_S - 0.1)
+    harness.clock.advance(4.0 - move_verdicts.LATEST_STOP_S - 0.1)
     harness.plan()
     assert not _stops(harness, key, 20)
     # The pass that stops it comes by itself, without a report.
@@ -320,6 +320,25 @@
     assert _stops(harness, key, 10) is moves
 
 
+# Guards against services that become unavailable by moves of all their tasks at
+# the same time.
+def test_no_more_tasks_of_a_service_are_moved_than_it_may_miss() -> None:
+    harness = engine_harness.EngineHarness(1)
+    service = model.Step(
+        3,
+        engine_harness.GPU,
+        checkpointing=True,
+        long_running=True,
+        max_unavailable=1,
+    )
+    orders = engine_harness.started(
+        harness.submit(engine_harness.job("a" * 16, service))
+    )
+    running = engine_harness.just_started(*(key for _, key in orders))
+    _drain(harness, 0, None, running=running)
+    assert len(harness.observe(0, running=running).stops) == 1
+
+
 def test_a_worker_whose_agent_stops_gets_no_new_tasks() -> None:
     harness = engine_harness.EngineHarness(1)
     harness.observe(0, agent_state=runs.AgentState.STOPPING)
