Order the jobs of a class by the shares of their accounts

Cause: among jobs of one priority and timeliness the one with the least remaining work came first, so that a burst of short jobs of one account took the whole fleet, and an account with large jobs waited for as long as others sent short ones.

Change: the account with the smallest dominant share of the fleet goes first, and its share grows with each unit that the pass places. The order within an account, the order of guaranteed jobs, and the order with one account are as before.

--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -20,10 +21,10 @@
 from pimentobridge.core.scheduling import preemption
 from pimentobridge.core.scheduling import preferences
 from pimentobridge.core.scheduling import ranking
+from pimentobridge.core.scheduling import shares as shares_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterator
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import contained_error
@@ -37,6 +38,8 @@
 # Limit on the jobs named in a log line.
 MAX_LOGGED_JOBS = 8
 
+_Units = Iterator[tuple[advice_lib.StepName, progress_lib.Unit]]
+
 
 @dataclasses.dataclass(frozen=True)
 class _Pass:
@@ -45,6 +48,10 @@
     Attributes:
         candidates: the workers that take tasks, with their free resources.
         ranked: the jobs that haven't ended, in order of rank.
+        shares: what the client accounts hold.
+        turns: the order in which the jobs place their units.
+        units_by_id: the waiting units of jobs that have had a turn, without
+            those that were tried.
         entitled: jobs that their accounts' guarantees cover.
         held: resources held for units that are still waiting.
         ends: when the runs on the workers are expected to end.
@@ -52,6 +59,9 @@
 
     candidates: placement.Candidates
     ranked: list[ledger.TrackedJob]
+    shares: shares_lib.Shares
+    turns: shares_lib.Turns
+    units_by_id: dict[types.JobId, _Units]
     entitled: set[types.JobId]
     held: holds.Holds
     ends: holds.ExpectedEnds
@@ -96,58 +106,84 @@
         )
         entitled = self._entitled_jobs()
         capacity = self._largest_worker()
-        open_jobs = [
-            tracked
-            for tracked in engine.jobs_by_id.values()
-            if not tracked.state.ended
-        ]
-        open_jobs.sort(
-            key=lambda tracked: ranking.rank(
+        ranked = sorted(
+            (
+                ranking.rank(
+                    tracked,
+                    entitled=tracked.id in entitled,
+                    capacity=capacity,
+                    now_s=now_s,
+                ),
                 tracked,
-                entitled=tracked.id in entitled,
-                capacity=capacity,
-                now_s=now_s,
             )
+            for tracked in engine.jobs_by_id.values()
+            if not tracked.state.ended
         )
+        shares = shares_lib.Shares(engine.workers_by_incarnation.values())
+        turns = shares_lib.Turns(ranked, shares)
         engine.advice.start_pass()
         self._waiting.clear()
         self._preemptor.start_pass(candidates)
         current = _Pass(
             candidates=candidates,
-            ranked=open_jobs,
+            ranked=[tracked for _, tracked in ranked],
+            shares=shares,
+            turns=turns,
+            units_by_id={},
             entitled=entitled,
             held=holds.Holds(candidates),
             ends=holds.ExpectedEnds(candidates, now_s),
             now_s=now_s,
         )
-        for tracked in open_jobs:
+        for tracked in turns:
             with self._contain("placing a job", job=tracked.id) as error:
                 self._place_job(tracked, current)
-            engine.incomplete |= error.occurred
+            if error.occurred:
+                engine.incomplete = True
+                turns.finish(tracked)
         if self._waiting:
             engine.passes.request_at(now_s + RETRY_INTERVAL_S)
 
     def _place_job(self, tracked: ledger.TrackedJob, current: _Pass) -> None:
-        """Places a job's waiting units, makes room for them or holds some."""
+        """Places a job's next waiting unit, makes room for it or holds some."""
         candidates, ends = current.candidates, current.ends
-        current.held.apply_to(tracked.job.queue.priority)
-        for name, unit in _ready_units(tracked):
-            demand = self._demand(tracked, name, unit, current.now_s)
-            if self._start(candidates, tracked, name, unit, demand):
-                ends.invalidate()
-                continue
-            self._waiting.append((tracked, demand))
-            if self._preemptor.make_room(
-                candidates, tracked, demand, current.entitled
-            ):
-                ends.invalidate()
-                continue
-            if _any_less_urgent(current.ranked, tracked):
-                self._hold(current.held, candidates, tracked, demand, ends)
-            if not demand.step.gang:
-                # The step's other tasks have the same requirements, so they
-                # don't fit either.
-                break
+        units = current.units_by_id.get(tracked.id)
+        if units is None:
+            units = current.units_by_id[tracked.id] = _ready_units(tracked)
+            current.held.apply_to(tracked.job.queue.priority)
+        following = next(units, None)
+        if following is None:
+            current.turns.finish(tracked)
+            return
+        name, unit = following
+        demand = self._demand(tracked, name, unit, current.now_s)
+        if self._start(candidates, tracked, name, unit, demand):
+            self._on_reserved(tracked, demand, current)
+            return
+        self._waiting.append((tracked, demand))
+        if self._preemptor.make_room(
+            candidates, tracked, demand, current.entitled
+        ):
+            self._on_reserved(tracked, demand, current)
+            return
+        if _any_less_urgent(current.ranked, tracked):
+            self._hold(current.held, candidates, tracked, demand, ends)
+        if not demand.step.gang:
+            # The step's other tasks have the same requirements, so they don't
+            # fit either.
+            current.turns.finish(tracked)
+
+    def _on_reserved(
+        self,
+        tracked: ledger.TrackedJob,
+        demand: placement.Demand,
+        current: _Pass,
+    ) -> None:
+        """Notes that resources are reserved for a unit."""
+        current.ends.invalidate()
+        current.shares.add(
+            tracked.job.account, demand.step.footprint, demand.size
+        )
 
     def _hold(
         self,
--- a/pimentobridge/core/scheduling/ranking.py
+++ b/pimentobridge/core/scheduling/ranking.py
@@ -4,11 +4,13 @@
 
 import enum
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.scheduling import ledger
 
 if TYPE_CHECKING:
+    from pimentobridge.core import types
     from pimentobridge.core.jobs import model
 
 
@@ -118,19 +120,42 @@
     return Timeliness.USELESS
 
 
+class JobClass(NamedTuple):
+    """What comes before the shares of the client accounts in the order."""
+
+    not_guaranteed: bool
+    priority: int
+    timeliness: Timeliness
+
+    @property
+    def guaranteed(self) -> bool:
+        """Whether the accounts' guarantees cover the jobs."""
+        return not self.not_guaranteed
+
+
+class Rank(NamedTuple):
+    """Sort key of a job; within an account the lowest is placed first."""
+
+    job_class: JobClass
+    remaining_work: float
+    first_seen_s: float
+    id: types.JobId
+
+
 def rank(
     tracked: ledger.TrackedJob,
     *,
     entitled: bool,
     capacity: model.Resources,
     now_s: float,
-) -> tuple[bool, int, Timeliness, float, float, str]:
-    """Returns the sort key of a job; the lowest is placed first.
+) -> Rank:
+    """Returns the sort key of a job.
 
     Jobs within their account's guarantee come first. Then jobs are ordered by
     their queue's priority, then those that can still be in time before those
-    that can't, and then by remaining work, least first, so that as many callers
-    as possible get their results soon.
+    that can't. In such a class the shares of the accounts decide (`shares`),
+    and within an account the remaining work, least first, so that as many
+    callers as possible get their results soon.
 
     Args:
         tracked: the job.
@@ -138,10 +163,12 @@
         capacity: capacity of the largest worker.
         now_s: current monotonic time.
     """
-    return (
-        not entitled,
-        tracked.job.queue.priority,
-        timeliness(tracked, now_s),
+    return Rank(
+        JobClass(
+            not entitled,
+            tracked.job.queue.priority,
+            timeliness(tracked, now_s),
+        ),
         remaining_work(tracked, capacity),
         tracked.first_seen_s,
         tracked.id,
--- /dev/null
+++ b/pimentobridge/core/scheduling/shares.py
@@ -0,0 +1,135 @@
+"""Orders the jobs of a class by what their client accounts hold already.
+
+A class holds the jobs with the same guarantee, priority and timeliness. Within
+it the account with the smallest dominant share of the fleet goes first, as in
+dominant resource fairness (Ghodsi et al., NSDI 2011). The shares change as
+units are placed, so that a burst of one account is interleaved with the others.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+from pimentobridge.core.jobs import model
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from pimentobridge.core import types
+    from pimentobridge.core.scheduling import fleet
+    from pimentobridge.core.scheduling import ledger
+    from pimentobridge.core.scheduling import ranking
+
+
+class Shares:
+    """Dominant share of the fleet that each account holds during a pass.
+
+    Runs that are being stopped don't count: their units wait again soon.
+
+    Args:
+        workers: all workers that are known. Those whose capacity is unknown
+            add nothing to the fleet, and without any capacity all shares are 0.
+    """
+
+    def __init__(self, workers: Iterable[fleet.TrackedWorker]) -> None:
+        capacities: list[model.Resources] = []
+        self._held_by_account: dict[types.AccountName, model.Resources] = {}
+        for worker in workers:
+            if worker.incarnation is not None:
+                capacities.append(worker.incarnation.capacity)
+            for entry in worker.entries_by_key.values():
+                if not entry.stop_requested:
+                    self.add(entry.tracked.job.account, entry.step.footprint)
+        self._fleet = model.total(capacities)
+
+    def add(
+        self,
+        account: types.AccountName,
+        amount: model.Resources,
+        count: int = 1,
+    ) -> None:
+        """Adds `count` times an amount to what an account holds."""
+        held = self._held_by_account.get(account, model.NO_RESOURCES)
+        self._held_by_account[account] = model.Resources(
+            held.cpu_millicores + count * amount.cpu_millicores,
+            held.memory_mib + count * amount.memory_mib,
+            held.accelerators + count * amount.accelerators,
+        )
+
+    def of(self, account: types.AccountName) -> float:
+        """Returns the largest of an account's shares of the fleet's resources.
+
+        The resources are processors, memory and accelerators.
+        """
+        held = self._held_by_account.get(account)
+        return 0.0 if held is None else held.dominant_share(self._fleet)
+
+
+class Turns:
+    """Yields the job that places its next unit, until all jobs are finished.
+
+    Args:
+        ranked: the jobs in the order of rank, which holds within an account.
+        shares: what the accounts hold; to be updated with each placement.
+    """
+
+    def __init__(
+        self,
+        ranked: list[tuple[ranking.Rank, ledger.TrackedJob]],
+        shares: Shares,
+    ) -> None:
+        self._ranked = ranked
+        self._shares = shares
+        self._finished: set[types.JobId] = set()
+
+    def finish(self, tracked: ledger.TrackedJob) -> None:
+        """Notes that a job has no further units to try in this pass."""
+        self._finished.add(tracked.id)
+
+    def __iter__(self) -> Iterator[ledger.TrackedJob]:
+        classes = itertools.groupby(
+            self._ranked, key=lambda ranked: ranked[0].job_class
+        )
+        for job_class, jobs in classes:
+            if job_class.guaranteed:
+                # What is guaranteed doesn't depend on what an account holds.
+                yield from self._in_order(jobs)
+            else:
+                yield from self._by_share(jobs)
+
+    def _in_order(
+        self, jobs: Iterable[tuple[ranking.Rank, ledger.TrackedJob]]
+    ) -> Iterator[ledger.TrackedJob]:
+        for _, tracked in jobs:
+            while tracked.id not in self._finished:
+                yield tracked
+
+    def _by_share(
+        self, jobs: Iterable[tuple[ranking.Rank, ledger.TrackedJob]]
+    ) -> Iterator[ledger.TrackedJob]:
+        jobs_by_account: dict[
+            types.AccountName,
+            collections.deque[tuple[ranking.Rank, ledger.TrackedJob]],
+        ] = collections.defaultdict(collections.deque)
+        for rank, tracked in jobs:
+            jobs_by_account[tracked.job.account].append((rank, tracked))
+        # Ranks are unique, so that accounts themselves are never compared.
+        heap = [
+            (self._shares.of(account), waiting[0][0], account)
+            for account, waiting in jobs_by_account.items()
+        ]
+        heapq.heapify(heap)
+        while heap:
+            *_, account = heapq.heappop(heap)
+            waiting = jobs_by_account[account]
+            tracked = waiting[0][1]
+            yield tracked
+            if tracked.id in self._finished:
+                waiting.popleft()
+            if waiting:
+                entry = (self._shares.of(account), waiting[0][0], account)
+                heapq.heappush(heap, entry)
--- a/pimentobridge/testing/crowded_load.py
+++ b/pimentobridge/testing/crowded_load.py
@@ -20,16 +20,25 @@
 MAX_WIDTH = 40
 
 
-def jobs(*, seed: int, accelerators: int) -> list[model.Job]:
-    """Returns jobs that ask for at least that many accelerators together."""
+def jobs(*, seed: int, accelerators: int, accounts: int = 1) -> list[model.Job]:
+    """Returns jobs that ask for at least that many accelerators together.
+
+    Args:
+        seed: seed of the random choices.
+        accelerators: number of accelerators.
+        accounts: number of client accounts, which submit in turn.
+    """
     rng = random.Random(seed)
     made: list[model.Job] = []
     asked = 0
     while asked < accelerators:
         priority = rng.choices([0, 1, 2], [74, 15, 11])[0]
         step = _step(rng, priority)
+        account = "shop" if accounts == 1 else f"shop-{len(made) % accounts}"
         made.append(
-            engine_harness.job(f"{len(made):016x}", step, priority=priority)
+            engine_harness.job(
+                f"{len(made):016x}", step, priority=priority, account=account
+            )
         )
         asked += step.count * step.request.accelerators
     return made
