Keep whole workers and racks free when small units are placed

Cause: a small task could go to an empty rack though one in use had room, and a gang took the emptiest workers even for its last members. A gang that has to be in one rack, and a task that takes a whole worker, then waited for many small ends.

Change: a unit of one member prefers racks in use, then the tightest worker; the last members of a gang go to the worker that is left with the least room. The preferences, the affinity and what counts against failing workers come first as before.

Measured: both placement tests fail on the code before.

--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -8,6 +8,7 @@
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import packing
 from pimentobridge.core.scheduling import preferences as preferences_lib
 
 if TYPE_CHECKING:
@@ -81,6 +82,7 @@
 
     Attributes:
         free_by_key: free resources that the pass hasn't reserved yet.
+        racks_in_use: racks with runs, or where the pass has reserved resources.
     """
 
     def __init__(
@@ -93,6 +95,12 @@
         self.free_by_key: FreeResources = {
             key: worker.free for key, worker in self.workers_by_key.items()
         }
+        self.racks_in_use = {
+            worker.incarnation.rack
+            for worker in self.workers_by_key.values()
+            if worker.incarnation is not None
+            and worker.used != model.NO_RESOURCES
+        }
         self._eligible_by_requirement: dict[
             tuple[str, str], list[fleet.TrackedWorker]
         ] = {}
@@ -102,6 +110,9 @@
     ) -> None:
         """Reserves resources of a worker for the rest of the pass."""
         self.free_by_key[key] -= amount
+        incarnation = self.workers_by_key[key].incarnation
+        if incarnation is not None:
+            self.racks_in_use.add(incarnation.rack)
 
     def costs(
         self, key: runs.IncarnationKey, demand: Demand
@@ -180,19 +191,27 @@
         chosen = _place_within_rack(candidates, demand, slots)
         if chosen is not None or _any_rack_could_hold(candidates, demand):
             return chosen
-    order = sorted(
-        slots,
-        key=lambda key: (
-            _is_suspect(candidates, key),
-            _crash_risk(candidates.workers_by_key[key], demand),
-            candidates.costs(key, demand),
-            not _matches_affinity(candidates, step, key),
-            slots[key] if size == 1 else -slots[key],
-            _unused_share(candidates, step, available_by_key[key], key),
-            key.worker,
-        ),
-    )
-    return _assign(order, slots, size)
+    options = [
+        packing.Option(
+            cost=(
+                _is_suspect(candidates, key),
+                _crash_risk(candidates.workers_by_key[key], demand),
+                candidates.costs(key, demand),
+                not _matches_affinity(candidates, step, key),
+            ),
+            idle_rack=_rack_of(candidates, key) not in candidates.racks_in_use,
+            slots=slots[key],
+            unused_share=_unused_share(
+                candidates, step, available_by_key[key], key
+            ),
+            worker=key.worker,
+            key=key,
+        )
+        for key in slots
+    ]
+    if size == 1:
+        return [packing.best_fit(options)]
+    return packing.fill(options, size)
 
 
 def _slots_by_worker(
@@ -232,16 +251,20 @@
         keys_by_rack[_rack_of(candidates, key)].append(key)
     options = []
     for rack, keys in keys_by_rack.items():
-        order = sorted(
-            keys,
-            key=lambda key: (
-                _is_suspect(candidates, key),
-                costs_by_key[key],
-                -slots[key],
-                key.worker,
-            ),
+        chosen = packing.fill(
+            [
+                packing.Option(
+                    cost=(_is_suspect(candidates, key), costs_by_key[key]),
+                    idle_rack=False,
+                    slots=slots[key],
+                    unused_share=0.0,
+                    worker=key.worker,
+                    key=key,
+                )
+                for key in keys
+            ],
+            size,
         )
-        chosen = _assign(order, slots, size)
         if chosen is not None:
             rank = (
                 rack != step.affinity_rack if step.affinity_rack else False,
@@ -267,20 +290,6 @@
     return any(count >= demand.size for count in slots_by_rack.values())
 
 
-def _assign(
-    order: list[runs.IncarnationKey],
-    slots: dict[runs.IncarnationKey, int],
-    size: int,
-) -> list[runs.IncarnationKey] | None:
-    """Fills the workers in `order`; returns None if members are left over."""
-    chosen: list[runs.IncarnationKey] = []
-    for key in order:
-        chosen.extend([key] * min(slots[key], size - len(chosen)))
-        if len(chosen) == size:
-            return chosen
-    return None
-
-
 def _is_suspect(candidates: Candidates, key: runs.IncarnationKey) -> bool:
     """Returns whether runs have failed on the worker since its last success.
 
