Reserve capacity for the first unit that doesn't fit, and backfill it

Cause: capacity was held only from less urgent queues and for an unlimited time. A large task or gang waited behind small tasks of its own queue, and what was held for it was idle although short work would have ended in time.

Change: the first waiting unit of each priority and service has a reservation with the time at which it is expected to fit. It binds all units after it, of its own priority too, unless they are expected to end before that time with a factor of two for errors of estimates, or save checkpoints and can be stopped. The owner may stop such a unit of its own priority, and keeps what the stop frees. A unit is held back by a reservation of its priority for its completion target at most. Units before the owner in the order avoid the reserved workers where they fit elsewhere. Jobs that a guarantee covers aren't bound. New counters: units_backfilled_total, units_exempt_from_reservation_total.

Two tests stated the former rule. Tasks of 1 s were to be kept from a worker that becomes free in 30 s; they are backfilled now, so the test uses tasks of 16 s, which the margin keeps out. Tasks of the same queue were to take what a wide task waits for; they no longer do, and the test states the contrary.

Measured: with the reservation, the margin, the exemption or the owner's claim taken out, 1 to 10 of the new and changed tests fail.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
+from pimentobridge.core.scheduling import backfill as backfill_lib
 from pimentobridge.core.scheduling import crashes
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
@@ -89,6 +90,7 @@
         self.needs_pass = True
         self.incomplete = False
         self.advice = advice_lib.AdviceCache()
+        self.backfill = backfill_lib.Backfill(log)
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
     # Jobs.
--- a/pimentobridge/core/scheduling/holds.py
+++ b/pimentobridge/core/scheduling/holds.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -14,6 +15,9 @@
 from pimentobridge.core.scheduling import placement
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pimentobridge.core import types
     from pimentobridge.core.jobs import model
     from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import fleet
@@ -23,15 +27,18 @@
     """Resources held for a unit, on the workers of its members.
 
     Attributes:
-        priority: priority of the unit's queue; only jobs of queues with a
-            higher number, which are less urgent, don't get the resources.
+        job: the unit's job.
+        priority: priority of the unit's queue.
         keys: worker of each member.
         footprint: resources that a member reserves.
+        fits_in_s: time in which the unit is expected to fit, in seconds.
     """
 
+    job: types.JobId
     priority: int
     keys: list[runs.IncarnationKey]
     footprint: model.Resources
+    fits_in_s: float
 
 
 class Holds:
@@ -44,33 +51,96 @@
     def __init__(self, candidates: placement.Candidates) -> None:
         self._candidates = candidates
         self._pending: list[Hold] = []
+        self._claims: list[Hold] = []
+        self._in_force: list[Hold] = []
+        self._reserved_pools: set[tuple[str, int]] = set()
 
     def add(self, hold: Hold) -> None:
         """Adds a hold, which takes effect for less urgent jobs."""
         self._pending.append(hold)
 
-    def apply_to(self, priority: int) -> None:
+    def add_claim(self, hold: Hold) -> None:
+        """Adds a hold that takes effect for all other jobs of its priority."""
+        known = self._candidates.workers_by_key
+        keys = [key for key in hold.keys if key in known]
+        self._claims.append(hold._replace(keys=keys))
+
+    def release(self, job: types.JobId) -> None:
+        """Gives back what a job claims, as it is its turn."""
+        for hold in [one for one in self._in_force if one.job == job]:
+            self._in_force.remove(hold)
+            for key in hold.keys:
+                self._candidates.give_back(key, hold.footprint)
+
+    def reserve(self, hold: Hold, service: str) -> None:
+        """Adds a hold that binds all units of a service after this one."""
+        self._reserved_pools.add((service, hold.priority))
+        self._apply(hold)
+
+    def is_reserved(self, service: str, priority: int) -> bool:
+        """Returns whether a unit of that priority has a reservation."""
+        return (service, priority) in self._reserved_pools
+
+    def binding_on(self, priority: int) -> list[Hold]:
+        """Returns the holds that are in force for queues with `priority`."""
+        return [hold for hold in self._in_force if hold.priority <= priority]
+
+    def free_with(self, opened: Iterable[Hold]) -> placement.FreeResources:
+        """Returns the free resources with those of some holds given back."""
+        free_by_key = dict(self._candidates.free_by_key)
+        for hold in opened:
+            for key in hold.keys:
+                free_by_key[key] += hold.footprint
+        return free_by_key
+
+    def apply_to(self, priority: int, *, guaranteed: bool) -> None:
         """Reserves the holds that bind jobs of queues with `priority`.
 
         A pass visits the queues in the order of their priorities, so a hold
-        that binds one job binds all that follow.
+        that binds one job binds all that follow. Claims don't bind jobs that
+        are guaranteed, which come first.
         """
+        claimed = [] if guaranteed else self._claims
+        for hold in claimed:
+            if hold.priority <= priority:
+                self._apply(hold)
+        self._claims = [
+            hold
+            for hold in self._claims
+            if guaranteed or hold.priority > priority
+        ]
         remaining = []
         for hold in self._pending:
             if hold.priority >= priority:
                 remaining.append(hold)
                 continue
-            for key in hold.keys:
-                self._candidates.reserve(key, hold.footprint)
+            self._apply(hold)
         self._pending = remaining
 
+    def _apply(self, hold: Hold) -> None:
+        for key in hold.keys:
+            self._candidates.reserve(key, hold.footprint)
+        self._in_force.append(hold)
+
+
+class Expected(NamedTuple):
+    """Where and when a unit is expected to fit first.
+
+    Attributes:
+        assigned: a worker for each member.
+        in_s: time until then, in seconds.
+    """
+
+    assigned: list[runs.IncarnationKey]
+    in_s: float
+
 
 def earliest_assignment(
     candidates: placement.Candidates,
     demand: placement.Demand,
     ends: ExpectedEnds,
-) -> list[runs.IncarnationKey] | None:
-    """Returns the workers on which a unit is expected to fit first.
+) -> Expected | None:
+    """Returns where and when a unit is expected to fit first.
 
     Args:
         candidates: workers that accept tasks, and their free resources.
@@ -78,8 +148,7 @@
         ends: the ends that are expected on these workers.
 
     Returns:
-        A worker for each member, or None if the unit wouldn't fit even after
-        the end of all runs.
+        None if the unit wouldn't fit even after the end of all runs.
     """
     free_by_key = dict(candidates.free_by_key)
     footprint = demand.step.footprint
@@ -88,7 +157,7 @@
         for worker in candidates.eligible(demand)
     }
     slots = sum(slots_by_key.values())
-    for worker, entry in ends.in_order():
+    for remaining_s, worker, entry in ends.in_order():
         if worker.key not in slots_by_key:
             continue
         before = slots_by_key[worker.key]
@@ -100,7 +169,7 @@
             continue
         assigned = placement.place(candidates, demand, free_by_key=free_by_key)
         if assigned is not None:
-            return assigned
+            return Expected(assigned, remaining_s)
     return None
 
 
@@ -118,20 +187,45 @@
         self._workers = candidates.workers_by_key.values()
         self._now_s = now_s
         self._in_order: (
-            list[tuple[fleet.TrackedWorker, ledger.RunEntry]] | None
+            list[tuple[float, fleet.TrackedWorker, ledger.RunEntry]] | None
         ) = None
 
     def invalidate(self) -> None:
-        """Notes that a run was placed or stopped."""
+        """Notes that runs were stopped."""
         self._in_order = None
 
-    def in_order(self) -> list[tuple[fleet.TrackedWorker, ledger.RunEntry]]:
-        """Returns the runs, each with its worker."""
+    def add(
+        self, started: list[tuple[fleet.TrackedWorker, ledger.RunEntry]]
+    ) -> None:
+        """Adds the members of a unit that was placed.
+
+        Args:
+            started: the runs and their workers, at least one.
+        """
+        if self._in_order is None:
+            return
+        members = [entry for _, entry in started]
+        remaining_s = ledger.remaining_s(members, self._now_s)
+        if remaining_s == float("inf"):
+            return
+        at = bisect.bisect_right(
+            self._in_order, remaining_s, key=lambda row: row[0]
+        )
+        self._in_order[at:at] = [
+            (remaining_s, worker, entry) for worker, entry in started
+        ]
+
+    def in_order(
+        self,
+    ) -> list[tuple[float, fleet.TrackedWorker, ledger.RunEntry]]:
+        """Returns the time until each run ends, its worker and the run."""
         if self._in_order is None:
             self._in_order = self._find()
         return self._in_order
 
-    def _find(self) -> list[tuple[fleet.TrackedWorker, ledger.RunEntry]]:
+    def _find(
+        self,
+    ) -> list[tuple[float, fleet.TrackedWorker, ledger.RunEntry]]:
         members_by_unit: dict[int, list[ledger.RunEntry]] = (
             collections.defaultdict(list)
         )
@@ -155,4 +249,4 @@
                 row[1].key.worker,
             )
         )
-        return [(worker, entry) for _, worker, entry in ending]
+        return ending
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -76,6 +76,8 @@
         stop_requested: the run must be stopped, for example because its job
             has ended or because it stalled.
         observed: progress that the worker has reported to this scheduler.
+        backfilled_for: the job in whose reserved capacity this scheduler has
+            placed the run; None if it is of another priority or there is none.
     """
 
     tracked: TrackedJob
@@ -88,6 +90,7 @@
     observed: observed_progress.ObservedProgress = dataclasses.field(
         default_factory=observed_progress.ObservedProgress
     )
+    backfilled_for: types.JobId | None = None
 
     @property
     def key(self) -> runs.RunKey:
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -44,6 +44,7 @@
             in seconds.
         due_in_s: time until the completion that the queue promises, in
             seconds; infinite for a job without such a time.
+        job: the unit's job.
     """
 
     step: model.Step
@@ -58,6 +59,7 @@
     priority: int = 0
     expected_s: float = 0.0
     due_in_s: float = float("inf")
+    job: types.JobId | None = None
 
     def may_run_on(self, worker: fleet.TrackedWorker) -> bool:
         """Returns whether a worker may run the step, given enough capacity."""
@@ -79,6 +81,8 @@
     Args:
         workers: workers that accept new tasks.
         preferences: order the workers that can hold a unit.
+        owner_by_key: jobs with reservations, by worker; others are placed
+            elsewhere if they fit there as well.
 
     Attributes:
         free_by_key: free resources that the pass hasn't reserved yet.
@@ -89,8 +93,10 @@
         self,
         workers: Iterable[fleet.TrackedWorker],
         preferences: Sequence[preferences_lib.Preference] = (),
+        owner_by_key: Mapping[runs.IncarnationKey, types.JobId] | None = None,
     ) -> None:
         self._preferences = preferences
+        self._owner_by_key = owner_by_key or {}
         self.workers_by_key = {worker.key: worker for worker in workers}
         self.free_by_key: FreeResources = {
             key: worker.free for key, worker in self.workers_by_key.items()
@@ -114,6 +120,22 @@
         if incarnation is not None:
             self.racks_in_use.add(incarnation.rack)
 
+    def give_back(
+        self, key: runs.IncarnationKey, amount: model.Resources
+    ) -> None:
+        """Takes back a call of `reserve`."""
+        self.free_by_key[key] += amount
+
+    def reserved_for_other(
+        self, key: runs.IncarnationKey, demand: Demand
+    ) -> bool:
+        """Returns whether another job has a reservation on a worker.
+
+        It may have to wait longer if the unit is placed there.
+        """
+        owner = self._owner_by_key.get(key)
+        return owner is not None and owner != demand.job
+
     def costs(
         self, key: runs.IncarnationKey, demand: Demand
     ) -> tuple[float, ...]:
@@ -198,6 +220,7 @@
                 _crash_risk(candidates.workers_by_key[key], demand),
                 candidates.costs(key, demand),
                 not _matches_affinity(candidates, step, key),
+                candidates.reserved_for_other(key, demand),
             ),
             idle_rack=_rack_of(candidates, key) not in candidates.racks_in_use,
             slots=slots[key],
@@ -219,9 +242,20 @@
 ) -> dict[runs.IncarnationKey, int]:
     """Returns how many members fit on each worker, without those with none."""
     slots = {}
-    step = demand.step
+    step, footprint = demand.step, demand.step.footprint
+    cpu, memory = footprint.cpu_millicores, footprint.memory_mib
+    accelerators = footprint.accelerators
     for worker in candidates.eligible(demand):
-        count = step.footprint.copies_in(free_by_key[worker.key])
+        free = free_by_key[worker.key]
+        # Written out, as most workers of a crowded fleet have no room. What
+        # isn't requested may be overcommitted.
+        if (
+            (accelerators and free.accelerators < accelerators)
+            or (cpu and free.cpu_millicores < cpu)
+            or (memory and free.memory_mib < memory)
+        ):
+            continue
+        count = footprint.copies_in(free)
         if step.max_per_worker:
             remaining = step.max_per_worker - demand.tasks_by_worker.get(
                 worker.key, 0
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -102,7 +102,9 @@
         now_s = self._clock.monotonic()
         engine.needs_pass = False
         candidates = placement.Candidates(
-            engine.placeable_workers(), self._preferences
+            engine.placeable_workers(),
+            self._preferences,
+            engine.backfill.owner_by_key,
         )
         entitled = self._entitled_jobs()
         capacity = self._largest_worker()
@@ -120,8 +122,12 @@
             if not tracked.state.ended
         )
         shares = shares_lib.Shares(engine.workers_by_incarnation.values())
-        turns = shares_lib.Turns(ranked, shares)
+        turns = shares_lib.Turns(
+            ranked, shares, set(engine.backfill.owner_by_key.values())
+        )
         engine.advice.start_pass()
+        held = holds.Holds(candidates)
+        engine.backfill.start_pass(held, {tracked.id for _, tracked in ranked})
         self._waiting.clear()
         self._preemptor.start_pass(candidates)
         current = _Pass(
@@ -131,7 +137,7 @@
             turns=turns,
             units_by_id={},
             entitled=entitled,
-            held=holds.Holds(candidates),
+            held=held,
             ends=holds.ExpectedEnds(candidates, now_s),
             now_s=now_s,
         )
@@ -146,28 +152,34 @@
 
     def _place_job(self, tracked: ledger.TrackedJob, current: _Pass) -> None:
         """Places a job's next waiting unit, makes room for it or holds some."""
-        candidates, ends = current.candidates, current.ends
+        candidates = current.candidates
         units = current.units_by_id.get(tracked.id)
         if units is None:
             units = current.units_by_id[tracked.id] = _ready_units(tracked)
-            current.held.apply_to(tracked.job.queue.priority)
+            current.held.apply_to(
+                tracked.job.queue.priority,
+                guaranteed=tracked.id in current.entitled,
+            )
+            current.held.release(tracked.id)
         following = next(units, None)
         if following is None:
             current.turns.finish(tracked)
             return
         name, unit = following
         demand = self._demand(tracked, name, unit, current.now_s)
-        if self._start(candidates, tracked, name, unit, demand):
+        if self._start(tracked, name, unit, demand, current):
+            self._engine.backfill.drop_claim(tracked.id)
             self._on_reserved(tracked, demand, current)
             return
         self._waiting.append((tracked, demand))
         if self._preemptor.make_room(
             candidates, tracked, demand, current.entitled
         ):
+            current.ends.invalidate()
             self._on_reserved(tracked, demand, current)
             return
-        if _any_less_urgent(current.ranked, tracked):
-            self._hold(current.held, candidates, tracked, demand, ends)
+        self._engine.backfill.drop_claim(tracked.id)
+        self._hold(tracked, demand, current)
         if not demand.step.gang:
             # The step's other tasks have the same requirements, so they don't
             # fit either.
@@ -180,27 +192,46 @@
         current: _Pass,
     ) -> None:
         """Notes that resources are reserved for a unit."""
-        current.ends.invalidate()
         current.shares.add(
             tracked.job.account, demand.step.footprint, demand.size
         )
 
     def _hold(
         self,
-        held: holds.Holds,
-        candidates: placement.Candidates,
         tracked: ledger.TrackedJob,
         demand: placement.Demand,
-        ends: holds.ExpectedEnds,
+        current: _Pass,
     ) -> None:
-        """Holds the resources that a unit is expected to get first."""
-        assigned = holds.earliest_assignment(candidates, demand, ends)
-        if assigned is not None:
-            held.add(
-                holds.Hold(
-                    tracked.job.queue.priority, assigned, demand.step.footprint
-                )
-            )
+        """Holds the resources that a unit is expected to get first.
+
+        The first unit of a priority has them reserved from all units after it,
+        and the others from less urgent queues. A guaranteed job doesn't reserve
+        them from other guaranteed jobs, whose starts are bounded.
+        """
+        held, service = current.held, demand.service
+        priority = tracked.job.queue.priority
+        reserves = tracked.id not in current.entitled and not (
+            held.is_reserved(service, priority)
+        )
+        if not reserves and not _any_less_urgent(current.ranked, tracked):
+            return
+        expected = holds.earliest_assignment(
+            current.candidates, demand, current.ends
+        )
+        if expected is None:
+            return
+        hold = holds.Hold(
+            tracked.id,
+            priority,
+            expected.assigned,
+            demand.step.footprint,
+            expected.in_s,
+        )
+        if reserves:
+            held.reserve(hold, service)
+            self._engine.backfill.on_reserved(hold, service)
+        else:
+            held.add(hold)
 
     def _demand(
         self,
@@ -225,6 +256,7 @@
             priority=queue.priority,
             expected_s=ranking.expected_s(tracked, name.step),
             due_in_s=ranking.due_in_s(tracked, now_s),
+            job=tracked.id,
         )
 
     def _entitled_jobs(self) -> set[types.JobId]:
@@ -251,18 +283,21 @@
 
     def _start(
         self,
-        candidates: placement.Candidates,
         tracked: ledger.TrackedJob,
         step_name: advice_lib.StepName,
         unit: progress_lib.Unit,
         demand: placement.Demand,
+        current: _Pass,
     ) -> bool:
-        assigned = placement.place(candidates, demand)
-        if assigned is None:
+        candidates = current.candidates
+        placed = self._engine.backfill.place(
+            candidates, current.held, tracked, demand, current.now_s
+        )
+        if placed is None:
             self._log_oversized_task(candidates, tracked, step_name, demand)
             self._request_advice(candidates, tracked, step_name, demand)
             return False
-        step = demand.step
+        assigned, step = placed.assigned, demand.step
         tickets = self._engine.advice.tickets(
             step_name, self._clock.monotonic()
         )
@@ -281,14 +316,23 @@
         if tracked.progress.state is progress_lib.JobState.QUEUED:
             tracked.progress.state = progress_lib.JobState.RUNNING
         engine.mark_changed(tracked)
+        started = []
         for member, key in enumerate(assigned):
             name = model.TaskName(*step_name, unit.first + member)
-            engine.workers_by_incarnation[key].add(
-                ledger.RunEntry(
-                    tracked, name, unit, unit.run, member, tracked.changes
-                )
+            entry = ledger.RunEntry(
+                tracked,
+                name,
+                unit,
+                unit.run,
+                member,
+                tracked.changes,
+                backfilled_for=placed.owner,
             )
+            worker = engine.workers_by_incarnation[key]
+            worker.add(entry)
+            started.append((worker, entry))
             candidates.reserve(key, step.footprint)
+        current.ends.add(started)
         self._log(
             "unit placed",
             job=tracked.id,
@@ -302,6 +346,8 @@
             checkpointing=step.checkpointing,
             waited_s=round(self._clock.monotonic() - tracked.first_seen_s, 3),
             past=self._jobs_passed(tracked, assigned),
+            account=tracked.job.account,
+            account_share=round(current.shares.of(tracked.job.account), 3),
         )
         return True
 
--- a/pimentobridge/core/scheduling/preemption.py
+++ b/pimentobridge/core/scheduling/preemption.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.jobs import model
+from pimentobridge.core.scheduling import backfill
 from pimentobridge.core.scheduling import placement
 from pimentobridge.core.scheduling import ranking
 from pimentobridge.core.scheduling import reclaim
@@ -42,10 +43,14 @@
         self._log = log
         self._ending_by_key: placement.FreeResources = {}
         self._victims_by_rank: dict[tuple[int, bool], list[reclaim.Victim]] = {}
+        self._backfilled_by_owner: dict[types.JobId, list[reclaim.Victim]] = {}
 
     def start_pass(self, candidates: placement.Candidates) -> None:
         """Prepares for a pass; must precede its calls of `make_room`."""
         self._victims_by_rank.clear()
+        self._backfilled_by_owner = backfill.stoppable_by_owner(
+            candidates.workers_by_key.values()
+        )
         # What the runs that are ending or being stopped will free, by worker.
         self._ending_by_key = {
             worker.key: amount
@@ -108,13 +113,16 @@
             candidates,
             demand,
             free_by_key=free_by_key,
-            victims=self._possible_victims(
-                candidates,
-                entitled,
-                priority=tracked.job.queue.priority,
-                guaranteed=guaranteed,
-                now_s=now_s,
-            ),
+            victims=[
+                *self._possible_victims(
+                    candidates,
+                    entitled,
+                    priority=tracked.job.queue.priority,
+                    guaranteed=guaranteed,
+                    now_s=now_s,
+                ),
+                *self._backfilled_for(tracked, guaranteed=guaranteed),
+            ],
             now_s=now_s,
         )
         if chosen is None:
@@ -130,6 +138,9 @@
         if chosen.lost_work <= limit:
             for victim in chosen.victims:
                 self._stop_victim(victim, tracked, chosen.lost_work)
+            self._engine.backfill.on_stopped(
+                chosen.victims, tracked, demand, chosen.assigned
+            )
             return chosen.assigned
         # A pass is due when the limit rises, even without another change.
         rise_s = reclaim.next_rise_s(guaranteed=guaranteed, waited_s=waited_s)
@@ -166,6 +177,21 @@
             if not victim.entries[0][1].stop_requested
         ]
 
+    def _backfilled_for(
+        self, tracked: ledger.TrackedJob, *, guaranteed: bool
+    ) -> list[reclaim.Victim]:
+        """Returns the units of a job's priority in its reserved capacity.
+
+        A job that a guarantee covers may preempt them in any case.
+        """
+        if guaranteed:
+            return []
+        return [
+            victim
+            for victim in self._backfilled_by_owner.get(tracked.id, [])
+            if not victim.entries[0][1].stop_requested
+        ]
+
     def _stop_victim(
         self,
         victim: reclaim.Victim,
--- a/pimentobridge/core/scheduling/shares.py
+++ b/pimentobridge/core/scheduling/shares.py
@@ -12,10 +12,12 @@
 import heapq
 import itertools
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from pimentobridge.core.jobs import model
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Iterator
 
@@ -69,21 +71,34 @@
         return 0.0 if held is None else held.dominant_share(self._fleet)
 
 
+class _Turn(NamedTuple):
+    """Place of an account in the order, by its next job."""
+
+    share: float
+    without_reservation: bool
+    rank: ranking.Rank
+    account: types.AccountName
+
+
 class Turns:
     """Yields the job that places its next unit, until all jobs are finished.
 
     Args:
         ranked: the jobs in the order of rank, which holds within an account.
         shares: what the accounts hold; to be updated with each placement.
+        owners: the jobs with reservations; of accounts with equal shares, one
+            whose next job is among them goes first.
     """
 
     def __init__(
         self,
         ranked: list[tuple[ranking.Rank, ledger.TrackedJob]],
         shares: Shares,
+        owners: Collection[types.JobId] = (),
     ) -> None:
         self._ranked = ranked
         self._shares = shares
+        self._owners = owners
         self._finished: set[types.JobId] = set()
 
     def finish(self, tracked: ledger.TrackedJob) -> None:
@@ -117,19 +132,27 @@
         ] = collections.defaultdict(collections.deque)
         for rank, tracked in jobs:
             jobs_by_account[tracked.job.account].append((rank, tracked))
-        # Ranks are unique, so that accounts themselves are never compared.
-        heap = [
-            (self._shares.of(account), waiting[0][0], account)
-            for account, waiting in jobs_by_account.items()
-        ]
+        heap = [self._turn_of(waiting) for waiting in jobs_by_account.values()]
         heapq.heapify(heap)
         while heap:
-            *_, account = heapq.heappop(heap)
+            account = heapq.heappop(heap).account
             waiting = jobs_by_account[account]
             tracked = waiting[0][1]
             yield tracked
             if tracked.id in self._finished:
                 waiting.popleft()
             if waiting:
-                entry = (self._shares.of(account), waiting[0][0], account)
-                heapq.heappush(heap, entry)
+                heapq.heappush(heap, self._turn_of(waiting))
+
+    def _turn_of(
+        self,
+        waiting: collections.deque[tuple[ranking.Rank, ledger.TrackedJob]],
+    ) -> _Turn:
+        rank, tracked = waiting[0]
+        account = tracked.job.account
+        return _Turn(
+            self._shares.of(account),
+            tracked.id not in self._owners,
+            rank,
+            account,
+        )
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -335,6 +335,7 @@
             ),
             "runs": sum(len(worker.entries_by_key) for worker in registered),
             "unrecorded_jobs": len(engine.dirty_by_id),
+            **engine.backfill.gauges(),
         }
 
     def pending_by_queue(self) -> dict[str, int]:
