--- a/pimentobridge/core/scheduling/shares.py
+++ b/pimentobridge/core/scheduling/shares.py
@@ -70,6 +70,11 @@
         held = self._held_by_account.get(account)
         return 0.0 if held is None else held.dominant_share(self._fleet)
 
+    def gauges(self) -> dict[str, float]:
+        """Returns the gauges of the shares, by metric name."""
+        largest = max(map(self.of, self._held_by_account), default=0.0)
+        return {"largest_account_share": largest}
+
 
 class _Turn(NamedTuple):
     """Place of an account in the order, by its next job."""
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.scheduling import occurrences
 from pimentobridge.core.scheduling import orders
 from pimentobridge.core.scheduling import planner as planner_lib
+from pimentobridge.core.scheduling import shares
 from pimentobridge.core.scheduling import stalls
 from pimentobridge.daemons import advice as advice_lib
 from pimentobridge.daemons import agent_link
@@ -336,6 +337,7 @@
             "runs": sum(len(worker.entries_by_key) for worker in registered),
             "unrecorded_jobs": len(engine.dirty_by_id),
             **engine.backfill.gauges(),
+            **shares.Shares(engine.workers_by_incarnation.values()).gauges(),
         }
 
     def pending_by_queue(self) -> dict[str, int]:
--- a/tests/test_backfill.py
+++ b/tests/test_backfill.py
@@ -124,6 +124,27 @@
     assert fleet.runs.first_start_s("u") < 3.0
 
 
+# Guards against a guaranteed job that starts too late: it comes first in its
+# priority, where others may claim what they have made free.
+def test_a_claim_binds_its_priority_but_not_what_is_guaranteed() -> None:
+    harness = engine_harness.EngineHarness(1)
+    (key,) = harness.engine.workers_by_incarnation
+    candidates = placement.Candidates(
+        harness.engine.workers_by_incarnation.values()
+    )
+    held = holds.Holds(candidates)
+    claim = holds.Hold(types.JobId("w"), 0, [key], engine_harness.WORKER, 0.0)
+    held.add_claim(claim)
+    held.apply_to(0, guaranteed=True)
+    assert candidates.free_by_key[key] == engine_harness.WORKER
+    held.apply_to(0, guaranteed=False)
+    assert candidates.free_by_key[key] == model.NO_RESOURCES
+    assert held.binding_on(0) == [claim]
+    held.release(types.JobId("w"))
+    assert candidates.free_by_key[key] == engine_harness.WORKER
+    assert held.binding_on(0) == []
+
+
 def _demand(estimate_s: float, **fields: bool) -> placement.Demand:
     step = model.Step(1, engine_harness.GPU, estimate_s, **fields)
     return placement.Demand(step, 1, "plans", expected_s=estimate_s or 5.0)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -96,6 +96,7 @@
     assert held.of(LARGE) == 0.0
     held.add(SMALL, model.Resources(8_000, 1000, 1), 2)
     assert held.of(SMALL) == 0.5
+    assert held.gauges() == {"largest_account_share": 0.5}
 
 
 # Guards against errors while a new scheduler knows runs by their records and no
