--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
+from pimentobridge.core.scheduling import backfill as backfill_lib
 from pimentobridge.core.scheduling import crashes
 from pimentobridge.core.scheduling import departures
 from pimentobridge.core.scheduling import durations as durations_lib
@@ -113,6 +114,7 @@
         self.speeds = speeds_lib.Speeds(
             self.workers_by_incarnation, self.durations, log
         )
+        self.backfill = backfill_lib.Backfill(log)
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
     # Jobs.
--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -238,7 +238,13 @@
             _Move(
                 run.first.unit,
                 run.first.run,
-                holds.Hold(priority, assigned, run.step.footprint),
+                holds.Hold(
+                    run.first.tracked.id,
+                    priority,
+                    assigned,
+                    run.step.footprint,
+                    fits_in_s=0.0,
+                ),
                 self._clock.monotonic() + MAX_HOLD_S,
             )
         )
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -100,6 +100,8 @@
         expected_s: expected run time on its workers, in seconds; 0 if only the
             step's estimate is known, as after a change of scheduler.
         observed: progress that the worker has reported to this scheduler.
+        backfilled_for: the job in whose reserved capacity this scheduler has
+            placed the run; None if it is of another priority or there is none.
     """
 
     tracked: TrackedJob
@@ -114,6 +116,7 @@
     observed: observed_progress.ObservedProgress = dataclasses.field(
         default_factory=observed_progress.ObservedProgress
     )
+    backfilled_for: types.JobId | None = None
 
     @property
     def key(self) -> runs.RunKey:
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -8,6 +8,7 @@
 
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import packing
 from pimentobridge.core.scheduling import preferences as preferences_lib
 
 if TYPE_CHECKING:
@@ -43,6 +44,7 @@
             in seconds.
         due_in_s: time until the completion that the queue promises, in
             seconds; infinite for a job without such a time.
+        job: the unit's job.
     """
 
     step: model.Step
@@ -57,6 +59,7 @@
     priority: int = 0
     expected_s: float = 0.0
     due_in_s: float = float("inf")
+    job: types.JobId | None = None
 
     def may_run_on(self, worker: fleet.TrackedWorker) -> bool:
         """Returns whether a worker may run the step, given enough capacity."""
@@ -78,23 +81,34 @@
     Args:
         workers: workers that accept new tasks.
         preferences: order the workers that can hold a unit.
+        owner_by_key: jobs with reservations, by worker; others are placed
+            elsewhere if they fit there as well.
 
     Attributes:
         free_by_key: free resources that the pass hasn't reserved yet.
+        racks_in_use: racks with runs, or where the pass has reserved resources.
     """
 
     def __init__(
         self,
         workers: Iterable[fleet.TrackedWorker],
         preferences: Sequence[preferences_lib.Preference] = (),
+        owner_by_key: Mapping[runs.IncarnationKey, types.JobId] | None = None,
     ) -> None:
         self._preferences = preferences
         self._costed: Demand | None = None
         self._costs_by_key: dict[runs.IncarnationKey, tuple[float, ...]] = {}
+        self._owner_by_key = owner_by_key or {}
         self.workers_by_key = {worker.key: worker for worker in workers}
         self.free_by_key: FreeResources = {
             key: worker.free for key, worker in self.workers_by_key.items()
         }
+        self.racks_in_use = {
+            worker.incarnation.rack
+            for worker in self.workers_by_key.values()
+            if worker.incarnation is not None
+            and worker.used != model.NO_RESOURCES
+        }
         self._eligible_by_requirement: dict[
             tuple[str, str], list[fleet.TrackedWorker]
         ] = {}
@@ -104,6 +118,25 @@
     ) -> None:
         """Reserves resources of a worker for the rest of the pass."""
         self.free_by_key[key] -= amount
+        incarnation = self.workers_by_key[key].incarnation
+        if incarnation is not None:
+            self.racks_in_use.add(incarnation.rack)
+
+    def give_back(
+        self, key: runs.IncarnationKey, amount: model.Resources
+    ) -> None:
+        """Takes back a call of `reserve`."""
+        self.free_by_key[key] += amount
+
+    def reserved_for_other(
+        self, key: runs.IncarnationKey, demand: Demand
+    ) -> bool:
+        """Returns whether another job has a reservation on a worker.
+
+        It may have to wait longer if the unit is placed there.
+        """
+        owner = self._owner_by_key.get(key)
+        return owner is not None and owner != demand.job
 
     def costs(
         self, key: runs.IncarnationKey, demand: Demand
@@ -197,22 +230,31 @@
         chosen = _place_within_rack(candidates, demand, slots)
         if chosen is not None or _any_rack_could_hold(candidates, demand):
             return chosen
-    order = sorted(
-        slots,
-        key=lambda key: (
-            _is_suspect(candidates, key),
-            _crash_risk(candidates.workers_by_key[key], demand),
-            candidates.costs(key, demand),
-            not _matches_affinity(candidates, step, key),
-            slots[key] if size == 1 else -slots[key],
-            _unused_share(candidates, step, available_by_key[key], key),
-            key.worker,
-        ),
-    )
-    chosen = _assign(order, slots, size)
-    if size == 1 or chosen is None:
-        return chosen
-    return _with_similar_workers(candidates, demand, order, slots, chosen)
+    options = [
+        packing.Option(
+            cost=(
+                _is_suspect(candidates, key),
+                _crash_risk(candidates.workers_by_key[key], demand),
+                candidates.costs(key, demand),
+                not _matches_affinity(candidates, step, key),
+                candidates.reserved_for_other(key, demand),
+            ),
+            idle_rack=_rack_of(candidates, key) not in candidates.racks_in_use,
+            slots=slots[key],
+            unused_share=_unused_share(
+                candidates, step, available_by_key[key], key
+            ),
+            worker=key.worker,
+            key=key,
+        )
+        for key in slots
+    ]
+    if size == 1:
+        return [packing.best_fit(options)]
+    chosen = packing.fill(options, size)
+    if chosen is None:
+        return None
+    return _with_similar_workers(candidates, demand, options, chosen)
 
 
 def _slots_by_worker(
@@ -220,9 +262,20 @@
 ) -> dict[runs.IncarnationKey, int]:
     """Returns how many members fit on each worker, without those with none."""
     slots = {}
-    step = demand.step
+    step, footprint = demand.step, demand.step.footprint
+    cpu, memory = footprint.cpu_millicores, footprint.memory_mib
+    accelerators = footprint.accelerators
     for worker in candidates.eligible(demand):
-        count = step.footprint.copies_in(free_by_key[worker.key])
+        free = free_by_key[worker.key]
+        # Written out, as most workers of a crowded fleet have no room. What
+        # isn't requested may be overcommitted.
+        if (
+            (accelerators and free.accelerators < accelerators)
+            or (cpu and free.cpu_millicores < cpu)
+            or (memory and free.memory_mib < memory)
+        ):
+            continue
+        count = footprint.copies_in(free)
         if step.max_per_worker:
             remaining = step.max_per_worker - demand.tasks_by_worker.get(
                 worker.key, 0
@@ -253,20 +306,20 @@
         keys_by_rack[_rack_of(candidates, key)].append(key)
     options = []
     for rack, keys in keys_by_rack.items():
-        order = sorted(
-            keys,
-            key=lambda key: (
-                _is_suspect(candidates, key),
-                costs_by_key[key],
-                -slots[key],
-                key.worker,
-            ),
-        )
-        chosen = _assign(order, slots, size)
-        if chosen is not None:
-            chosen = _with_similar_workers(
-                candidates, demand, order, slots, chosen
+        in_rack = [
+            packing.Option(
+                cost=(_is_suspect(candidates, key), costs_by_key[key]),
+                idle_rack=False,
+                slots=slots[key],
+                unused_share=0.0,
+                worker=key.worker,
+                key=key,
             )
+            for key in keys
+        ]
+        chosen = packing.fill(in_rack, size)
+        if chosen is not None:
+            chosen = _with_similar_workers(candidates, demand, in_rack, chosen)
             rank = (
                 rack != step.affinity_rack if step.affinity_rack else False,
                 max(costs_by_key[key] for key in chosen),
@@ -292,25 +345,10 @@
     return any(count >= demand.size for count in slots_by_rack.values())
 
 
-def _assign(
-    order: list[runs.IncarnationKey],
-    slots: dict[runs.IncarnationKey, int],
-    size: int,
-) -> list[runs.IncarnationKey] | None:
-    """Fills the workers in `order`; returns None if members are left over."""
-    chosen: list[runs.IncarnationKey] = []
-    for key in order:
-        chosen.extend([key] * min(slots[key], size - len(chosen)))
-        if len(chosen) == size:
-            return chosen
-    return None
-
-
 def _with_similar_workers(
     candidates: Candidates,
     demand: Demand,
-    order: list[runs.IncarnationKey],
-    slots: dict[runs.IncarnationKey, int],
+    options: list[packing.Option],
     chosen: list[runs.IncarnationKey],
 ) -> list[runs.IncarnationKey]:
     """Returns workers for a gang that cost about as much as its most costly.
@@ -335,9 +373,14 @@
         one[:-1] != worst[:-1] for one in grades.values()
     ):
         return chosen
-    pool = [key for key in order if worst[:-1] <= grade(key) <= worst]
-    pool.sort(key=lambda key: -candidates.costs(key, demand)[-1])
-    return _assign(pool, slots, len(chosen)) or chosen
+    similar = [
+        option._replace(
+            cost=(-candidates.costs(option.key, demand)[-1], option.cost)
+        )
+        for option in options
+        if worst[:-1] <= grade(option.key) <= worst
+    ]
+    return packing.fill(similar, len(chosen)) or chosen
 
 
 def _last_cost_spread(
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -22,10 +23,10 @@
 from pimentobridge.core.scheduling import preemption
 from pimentobridge.core.scheduling import preferences
 from pimentobridge.core.scheduling import ranking
+from pimentobridge.core.scheduling import shares as shares_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterator
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import contained_error
@@ -41,6 +42,8 @@
 # Limit on the jobs named in a log line.
 MAX_LOGGED_JOBS = 8
 
+_Units = Iterator[tuple[advice_lib.StepName, progress_lib.Unit]]
+
 
 @dataclasses.dataclass(frozen=True)
 class _Pass:
@@ -49,6 +52,10 @@
     Attributes:
         candidates: the workers that take tasks, with their free resources.
         ranked: the jobs that haven't ended, in order of rank.
+        shares: what the client accounts hold.
+        turns: the order in which the jobs place their units.
+        units_by_id: the waiting units of jobs that have had a turn, without
+            those that were tried.
         entitled: jobs that their accounts' guarantees cover.
         held: resources held for units that are still waiting.
         ends: when the runs on the workers are expected to end.
@@ -56,6 +63,9 @@
 
     candidates: placement.Candidates
     ranked: list[ledger.TrackedJob]
+    shares: shares_lib.Shares
+    turns: shares_lib.Turns
+    units_by_id: dict[types.JobId, _Units]
     entitled: set[types.JobId]
     held: holds.Holds
     ends: holds.ExpectedEnds
@@ -106,7 +116,9 @@
         now_s = self._clock.monotonic()
         engine.needs_pass = False
         candidates = placement.Candidates(
-            engine.placeable_workers(), self._preferences
+            engine.placeable_workers(),
+            self._preferences,
+            engine.backfill.owner_by_key,
         )
         self._pace.start_pass(candidates.workers_by_key.values(), now_s)
         entitled = self._entitled_jobs()
@@ -117,30 +129,45 @@
             if not tracked.state.ended
         ]
         engine.durations.update_jobs(open_jobs)
-        open_jobs.sort(
-            key=lambda tracked: ranking.rank(
+        ranked = sorted(
+            (
+                ranking.rank(
+                    tracked,
+                    entitled=tracked.id in entitled,
+                    capacity=capacity,
+                    now_s=now_s,
+                ),
                 tracked,
-                entitled=tracked.id in entitled,
-                capacity=capacity,
-                now_s=now_s,
             )
+            for tracked in open_jobs
+        )
+        shares = shares_lib.Shares(engine.workers_by_incarnation.values())
+        turns = shares_lib.Turns(
+            ranked, shares, set(engine.backfill.owner_by_key.values())
         )
         engine.advice.start_pass()
+        held = holds.Holds(candidates)
+        engine.backfill.start_pass(held, {tracked.id for _, tracked in ranked})
         self._waiting.clear()
         self._preemptor.start_pass(candidates)
         current = _Pass(
             candidates=candidates,
-            ranked=open_jobs,
+            ranked=[tracked for _, tracked in ranked],
+            shares=shares,
+            turns=turns,
+            units_by_id={},
             entitled=entitled,
-            held=holds.Holds(candidates),
+            held=held,
             ends=holds.ExpectedEnds(candidates, now_s),
             now_s=now_s,
         )
         engine.evacuation.hold_room(current.held, candidates)
-        for tracked in open_jobs:
+        for tracked in turns:
             with self._contain("placing a job", job=tracked.id) as error:
                 self._place_job(tracked, current)
-            engine.incomplete |= error.occurred
+            if error.occurred:
+                engine.incomplete = True
+                turns.finish(tracked)
         with self._contain("moving runs off departing workers") as error:
             engine.evacuation.run(candidates, self._demand)
         engine.incomplete |= error.occurred
@@ -152,52 +179,97 @@
         return self._faster_workers.gauges()
 
     def _place_job(self, tracked: ledger.TrackedJob, current: _Pass) -> None:
-        """Places a job's waiting units, makes room for them or holds some."""
-        candidates, ends = current.candidates, current.ends
-        current.held.apply_to(tracked.job.queue.priority)
-        for name, unit in _ready_units(tracked):
-            demand = self._demand(tracked, name, unit, current.now_s)
-            if self._faster_workers.make_room(
-                candidates,
-                tracked,
-                demand,
+        """Places a job's next waiting unit, makes room for it or holds some."""
+        candidates = current.candidates
+        units = current.units_by_id.get(tracked.id)
+        if units is None:
+            units = current.units_by_id[tracked.id] = _ready_units(tracked)
+            current.held.apply_to(
+                tracked.job.queue.priority,
                 guaranteed=tracked.id in current.entitled,
-            ):
-                self._waiting.append((tracked, demand))
-                ends.invalidate()
-                continue
-            if self._start(candidates, tracked, name, unit, demand):
-                ends.invalidate()
-                continue
+            )
+            current.held.release(tracked.id)
+        following = next(units, None)
+        if following is None:
+            current.turns.finish(tracked)
+            return
+        name, unit = following
+        demand = self._demand(tracked, name, unit, current.now_s)
+        if self._faster_workers.make_room(
+            candidates,
+            tracked,
+            demand,
+            guaranteed=tracked.id in current.entitled,
+        ):
             self._waiting.append((tracked, demand))
-            if self._preemptor.make_room(
-                candidates, tracked, demand, current.entitled
-            ):
-                ends.invalidate()
-                continue
-            if _any_less_urgent(current.ranked, tracked):
-                self._hold(current.held, candidates, tracked, demand, ends)
-            if not demand.step.gang:
-                # The step's other tasks have the same requirements, so they
-                # don't fit either.
-                break
+            current.ends.invalidate()
+            self._on_reserved(tracked, demand, current)
+            return
+        if self._start(tracked, name, unit, demand, current):
+            self._engine.backfill.drop_claim(tracked.id)
+            self._on_reserved(tracked, demand, current)
+            return
+        self._waiting.append((tracked, demand))
+        if self._preemptor.make_room(
+            candidates, tracked, demand, current.entitled
+        ):
+            current.ends.invalidate()
+            self._on_reserved(tracked, demand, current)
+            return
+        self._engine.backfill.drop_claim(tracked.id)
+        self._hold(tracked, demand, current)
+        if not demand.step.gang:
+            # The step's other tasks have the same requirements, so they don't
+            # fit either.
+            current.turns.finish(tracked)
+
+    def _on_reserved(
+        self,
+        tracked: ledger.TrackedJob,
+        demand: placement.Demand,
+        current: _Pass,
+    ) -> None:
+        """Notes that resources are reserved for a unit."""
+        current.shares.add(
+            tracked.job.account, demand.step.footprint, demand.size
+        )
 
     def _hold(
         self,
-        held: holds.Holds,
-        candidates: placement.Candidates,
         tracked: ledger.TrackedJob,
         demand: placement.Demand,
-        ends: holds.ExpectedEnds,
+        current: _Pass,
     ) -> None:
-        """Holds the resources that a unit is expected to get first."""
-        assigned = holds.earliest_assignment(candidates, demand, ends)
-        if assigned is not None:
-            held.add(
-                holds.Hold(
-                    tracked.job.queue.priority, assigned, demand.step.footprint
-                )
-            )
+        """Holds the resources that a unit is expected to get first.
+
+        The first unit of a priority has them reserved from all units after it,
+        and the others from less urgent queues. A guaranteed job doesn't reserve
+        them from other guaranteed jobs, whose starts are bounded.
+        """
+        held, service = current.held, demand.service
+        priority = tracked.job.queue.priority
+        reserves = tracked.id not in current.entitled and not (
+            held.is_reserved(service, priority)
+        )
+        if not reserves and not _any_less_urgent(current.ranked, tracked):
+            return
+        expected = holds.earliest_assignment(
+            current.candidates, demand, current.ends
+        )
+        if expected is None:
+            return
+        hold = holds.Hold(
+            tracked.id,
+            priority,
+            expected.assigned,
+            demand.step.footprint,
+            expected.in_s,
+        )
+        if reserves:
+            held.reserve(hold, service)
+            self._engine.backfill.on_reserved(hold, service)
+        else:
+            held.add(hold)
 
     def _demand(
         self,
@@ -222,6 +294,7 @@
             priority=queue.priority,
             expected_s=ranking.expected_s(tracked, name.step),
             due_in_s=ranking.due_in_s(tracked, now_s),
+            job=tracked.id,
         )
 
     def _entitled_jobs(self) -> set[types.JobId]:
@@ -248,18 +321,21 @@
 
     def _start(
         self,
-        candidates: placement.Candidates,
         tracked: ledger.TrackedJob,
         step_name: advice_lib.StepName,
         unit: progress_lib.Unit,
         demand: placement.Demand,
+        current: _Pass,
     ) -> bool:
-        assigned = placement.place(candidates, demand)
-        if assigned is None:
+        candidates = current.candidates
+        placed = self._engine.backfill.place(
+            candidates, current.held, tracked, demand, current.now_s
+        )
+        if placed is None:
             self._log_oversized_task(candidates, tracked, step_name, demand)
             self._request_advice(candidates, tracked, step_name, demand)
             return False
-        step = demand.step
+        assigned, step = placed.assigned, demand.step
         tickets = self._engine.advice.tickets(
             step_name, self._clock.monotonic()
         )
@@ -280,20 +356,24 @@
         engine.mark_changed(tracked)
         workers = [engine.workers_by_incarnation[key] for key in set(assigned)]
         expected_s = self._pace.expected_on(workers, demand)
+        started = []
         for member, key in enumerate(assigned):
             name = model.TaskName(*step_name, unit.first + member)
-            engine.workers_by_incarnation[key].add(
-                ledger.RunEntry(
-                    tracked,
-                    name,
-                    unit,
-                    unit.run,
-                    member,
-                    tracked.changes,
-                    expected_s=expected_s,
-                )
+            entry = ledger.RunEntry(
+                tracked,
+                name,
+                unit,
+                unit.run,
+                member,
+                tracked.changes,
+                expected_s=expected_s,
+                backfilled_for=placed.owner,
             )
+            worker = engine.workers_by_incarnation[key]
+            worker.add(entry)
+            started.append((worker, entry))
             candidates.reserve(key, step.footprint)
+        current.ends.add(started)
         self._log(
             "unit placed",
             job=tracked.id,
@@ -308,6 +388,8 @@
             checkpointing=step.checkpointing,
             waited_s=round(self._clock.monotonic() - tracked.first_seen_s, 3),
             past=self._jobs_passed(tracked, assigned),
+            account=tracked.job.account,
+            account_share=round(current.shares.of(tracked.job.account), 3),
         )
         return True
 
