Keep evacuated data centres free of starts

Tasks started in a data centre 5.5 s and more after the store had acknowledged the operator's request to evacuate it, since nothing read op/evacuate/ZONE.

Each entry mirrors the prefix, and a term places nothing and sends no order before it has been read. Copies of it for entries that the store refuses hold all items, as those of other prefixes don't show deletions. The engine leaves the workers out of placement, withdraws by a stop what they don't run yet, and moves checkpointing runs that fit elsewhere.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -14,6 +14,7 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import crashes
+from pimentobridge.core.scheduling import data_centre_evacuation
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
@@ -25,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
@@ -58,6 +60,7 @@
         dirty_by_id: jobs with changes that aren't recorded in the store yet.
         needs_pass: a scheduling pass of the planner is due.
         passes: requests for passes at a time.
+        evacuations: the data centres in which nothing may start.
         incomplete: an error has ended the processing of a worker's report.
     """
 
@@ -89,6 +92,9 @@
         self.needs_pass = True
         self.incomplete = False
         self.advice = advice_lib.AdviceCache()
+        self.evacuations = data_centre_evacuation.Evacuations(
+            clock=clock, log=log
+        )
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
     # Jobs.
@@ -227,6 +233,7 @@
         worker.agent_state = observation.agent_state
         if not worker.distrusted:
             self._apply_reported_runs(worker, observation)
+        self.evacuations.stop_unstarted(worker, self.workers_by_incarnation)
         if not worker.reachable:
             gangs.stop_incomplete(
                 worker, self.workers_by_incarnation, self._log
@@ -476,6 +483,27 @@
         unit.requeue_if_released()
         self.mark_changed(entry.tracked)
 
+    # Evacuations of data centres.
+
+    def set_evacuations(
+        self, revision_by_data_centre: Mapping[types.DataCentreName, int]
+    ) -> None:
+        """Replaces the evacuations in force.
+
+        Args:
+            revision_by_data_centre: the evacuated data centres, with the
+                store's revision of each request.
+        """
+        workers = self.workers_by_incarnation.values()
+        self.evacuations.replace(revision_by_data_centre, workers)
+        for worker in workers:
+            self.evacuations.stop_unstarted(worker, self.workers_by_incarnation)
+        self.needs_pass = True
+
+    def log_unmatched_evacuations(self) -> None:
+        """Logs the evacuations of data centres without workers."""
+        self.evacuations.log_unmatched(self.workers_by_incarnation.values())
+
     # Timeouts and due times.
 
     def declare_lost(self) -> None:
@@ -521,7 +549,7 @@
         return [
             worker
             for worker in self.workers_by_incarnation.values()
-            if worker.takes_tasks(now_s)
+            if worker.takes_tasks(now_s) and not self.evacuations.covers(worker)
         ]
 
     # Records.
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -13,6 +13,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
+from pimentobridge.core.scheduling import data_centre_evacuation
 from pimentobridge.core.scheduling import guarantees
 from pimentobridge.core.scheduling import holds
 from pimentobridge.core.scheduling import ledger
@@ -124,9 +125,29 @@
             with self._contain("placing a job", job=tracked.id) as error:
                 self._place_job(tracked, current)
             engine.incomplete |= error.occurred
+        with self._contain("evacuating data centres") as error:
+            self._migrate_evacuated(candidates, now_s)
+        engine.incomplete |= error.occurred
         if self._waiting:
             engine.passes.request_at(now_s + RETRY_INTERVAL_S)
 
+    def _migrate_evacuated(
+        self, candidates: placement.Candidates, now_s: float
+    ) -> None:
+        """Stops runs in evacuated data centres for which others have room."""
+
+        def demand_of(entry: ledger.RunEntry) -> placement.Demand:
+            name = advice_lib.StepName(*entry.name[:3])
+            return self._demand(entry.tracked, name, entry.unit, now_s)
+
+        data_centre_evacuation.migrate(
+            self._engine.evacuations,
+            self._engine.workers_by_incarnation,
+            candidates,
+            demand_of=demand_of,
+            log=self._log,
+        )
+
     def _place_job(self, tracked: ledger.TrackedJob, current: _Pass) -> None:
         """Places a job's waiting units, makes room for them or holds some."""
         candidates, ends = current.candidates, current.ends
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -11,6 +11,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import configuration_follower
 from pimentobridge.daemons import containment
+from pimentobridge.daemons import evacuation_watch
 from pimentobridge.daemons import fleet_record
 from pimentobridge.daemons import handover
 from pimentobridge.daemons import job_items
@@ -25,6 +26,7 @@
 from pimentobridge.daemons import write_relay
 from pimentobridge.platform import kv_store
 from pimentobridge.platform import operator_configuration
+from pimentobridge.platform import operator_requests
 from pimentobridge.protocol import control
 from pimentobridge.protocol import documents
 
@@ -87,6 +89,9 @@
             clock=clock,
             on_change=self._handle_item,
         )
+        self.evacuations = evacuation_watch.EvacuationWatch(
+            store=store, clock=clock, on_change=self._apply_evacuations
+        )
         self._follower = configuration_follower.ConfigurationFollower(
             settings=settings,
             endpoint=endpoint,
@@ -96,7 +101,11 @@
             on_version=self._on_configuration_item,
         )
         self.sharing = mirror_sharing.MirrorSharing(
-            mirrors={keys.PREFIX: self.mirror},
+            mirrors={
+                keys.PREFIX: self.mirror,
+                operator_requests.EVACUATE: self.evacuations.mirror,
+            },
+            whole=frozenset({operator_requests.EVACUATE}),
             endpoint=endpoint,
             peers=self._peers,
             clock=clock,
@@ -124,6 +133,7 @@
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.mirror.run)
+            nursery.start_soon(self.evacuations.run)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self.leadership.run)
             nursery.start_soon(self._announce)
@@ -403,6 +413,12 @@
         if self.scheduler is not None:
             self.scheduler.set_configuration(document)
 
+    def _apply_evacuations(self) -> None:
+        if self.scheduler is not None:
+            self.scheduler.set_evacuations(
+                self.evacuations.revision_by_data_centre
+            )
+
     async def _announce(self) -> None:
         """Keeps this entry's address in the store, for the other processes."""
         key = keys.entry(self._endpoint.address)
@@ -427,6 +443,8 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._cancel_when_term_ends, token, term)
                     await self.mirror.wait_for_revision(token)
+                    # Without them, a start could violate an evacuation.
+                    await self.evacuations.wait_until_read()
                     with containment.contained("scheduling", token=token):
                         await self._run_term()
                     # Only an error ends the scheduler before its term.
@@ -456,6 +474,7 @@
         if self.configuration is not None:
             scheduler.set_configuration(self.configuration)
         self.scheduler = scheduler
+        self._apply_evacuations()
         await scheduler.run()
 
     async def _cancel_when_term_ends(
--- a/pimentobridge/daemons/mirror_sharing.py
+++ b/pimentobridge/daemons/mirror_sharing.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Mapping
 
     from pimentobridge.core import clock as clock_lib
@@ -44,6 +45,8 @@
         endpoint: transport to the other entries.
         peers: returns the addresses of the other entries.
         clock: source of time.
+        whole: prefixes of few items, of which a copy holds all, so that the
+            receiver learns of deletions too.
 
     Attributes:
         source: the entry that last supplied items, or that is asked next; None
@@ -57,7 +60,9 @@
         endpoint: transport.Outbox,
         peers: Callable[[], list[types.Address]],
         clock: clock_lib.Clock,
+        whole: Collection[str] = (),
     ) -> None:
+        self._whole = whole
         self._mirrors = mirrors
         self._endpoint = endpoint
         self._peers = peers
@@ -149,15 +154,18 @@
                 sender, control.MirrorCopy(query.prefix, current=False)
             )
             return
+        known = query.revision
+        whole = query.prefix in self._whole and mirror.revision > known
         newer = [
             item
             for item in mirror.items_by_key.values()
-            if item.revision > query.revision
+            if whole or item.revision > known
         ]
         newer.sort(key=lambda item: item.revision)
         copied = _first_items(newer)
         revision = mirror.revision
         if len(copied) < len(newer):
+            whole = False
             revision = min(revision, copied[-1].revision)
         if copied:
             logs.event(
@@ -172,7 +180,11 @@
         self._endpoint.send(
             sender,
             control.MirrorCopy(
-                query.prefix, current=True, revision=revision, items=copied
+                query.prefix,
+                current=True,
+                revision=revision,
+                items=copied,
+                whole=whole,
             ),
         )
 
@@ -188,8 +200,15 @@
             return
         # On a slow link, the answer may come after the next entry was asked.
         self.source, self._source_answered_s = sender, self._heard_s
-        for item in copy.items:
-            mirror.offer(kv_store.Item(item.key, item.value, item.revision))
+        items = [
+            kv_store.Item(item.key, item.value, item.revision)
+            for item in copy.items
+        ]
+        if copy.whole:
+            mirror.replace(items, copy.revision)
+        else:
+            for item in items:
+                mirror.offer(item)
         if copy.revision > self._copied_by_prefix[copy.prefix]:
             self._copied_by_prefix[copy.prefix] = copy.revision
             logs.event(
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -220,6 +220,18 @@
         self.engine.needs_pass = True
         self._wake.set()
 
+    def set_evacuations(
+        self, revision_by_data_centre: Mapping[types.DataCentreName, int]
+    ) -> None:
+        """Applies the operator's evacuations, and sends the orders they need.
+
+        Args:
+            revision_by_data_centre: the evacuated data centres, with the
+                store's revision of each request.
+        """
+        self.engine.set_evacuations(revision_by_data_centre)
+        self._wake.set()
+
     def _warn_of_missing_advice_service(
         self, document: configuration.JobConfiguration
     ) -> None:
@@ -335,6 +347,7 @@
             ),
             "runs": sum(len(worker.entries_by_key) for worker in registered),
             "unrecorded_jobs": len(engine.dirty_by_id),
+            **engine.evacuations.gauges(),
         }
 
     def pending_by_queue(self) -> dict[str, int]:
@@ -353,6 +366,7 @@
             ("finding workers", self.engine.detect_placeable_changes),
             ("recording checkpoints", self.engine.record_checkpoints),
             ("finding stalled runs", self._stalls.run),
+            ("finding evacuations", self.engine.log_unmatched_evacuations),
             ("placing units", self._place_units),
             ("recording changes", self._wake_recorder),
             ("sending changed orders", self._send_changed_orders),
--- a/pimentobridge/daemons/store_mirror.py
+++ b/pimentobridge/daemons/store_mirror.py
@@ -92,6 +92,23 @@
         if not deleted:
             self._apply(item)
 
+    def replace(self, items: list[kv_store.Item], revision: int) -> None:
+        """Takes over all items of another mirror, unless that one is older.
+
+        Args:
+            items: the items that exist.
+            revision: store revision up to which the other has all changes.
+        """
+        if revision <= self.revision:
+            return
+        existing = {item.key for item in items}
+        for key in [key for key in self.items_by_key if key not in existing]:
+            self._apply(kv_store.Item(key, None, revision))
+        for item in items:
+            self._apply(item)
+        self.loaded = True
+        self._set_revision(revision)
+
     def _apply(self, item: kv_store.Item) -> None:
         """Applies an item unless the mirror has a newer revision of it."""
         current = self.items_by_key.get(item.key)
@@ -131,8 +148,10 @@
             missing = self.items_by_key[key]
             if missing.revision <= first_revision:
                 self._apply(kv_store.Item(key, None, max(first_revision, 1)))
+        # A copy from another entry may have been newer than the pages.
+        outdated = first_revision < self.revision
         for item in read_by_key.values():
-            self._apply(item)
+            (self.offer if outdated else self._apply)(item)
         self._advance(first_revision)
         self.loaded = True
         return True
@@ -149,8 +168,9 @@
             if isinstance(changes, result.Ok):
                 self._set_reachable(True, "watch succeeded")
                 self._log_large_answer(changes.ok_value.items, called_s)
+                # A copy from another entry may have been newer.
                 for item in changes.ok_value.items:
-                    self._apply(item)
+                    self.offer(item)
                 self._advance(changes.ok_value.store_revision)
                 continue
             error = changes.err_value
@@ -191,6 +211,9 @@
 
     def _advance(self, revision: int) -> None:
         self.synchronised_s = self._clock.monotonic()
+        self._set_revision(revision)
+
+    def _set_revision(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
         changed, self._changed = self._changed, trio.Event()
         changed.set()
--- a/pimentobridge/lab/checkers.py
+++ b/pimentobridge/lab/checkers.py
@@ -4,6 +4,7 @@
 
 - `BUDGET`: a task was started after it had used up its attempts, or three times
   after three runners had crashed under it.
+- `EVAC`: a task was started in a data centre under evacuation.
 - `FAULT`: a process of the system ended by itself, or logged an unexpected
   error.
 - `GANG`: a gang member stopped waiting because the others did not all start.
@@ -42,6 +43,9 @@
 # A capacity that has shrunk counts this long afterwards: `contactMs` and one
 # heartbeat.
 SHRINK_GRACE_S = 5.5
+# A task may still start in a data centre this long after the store acknowledged
+# its evacuation (`evacuateMs`), or was last down, slow or lost answers.
+EVACUATE_S = 5.0
 # A gang that does not assemble is no finding while a fault is active and for
 # this long afterwards.
 FAULT_GRACE_S = 10.0
@@ -96,6 +100,8 @@
     Args:
         clock: returns the monotonic time in seconds.
         last_fault_s: returns the time at which a fault was last active.
+        last_store_fault_s: returns the time at which the store was last down,
+            slow or lost answers for all; None if it never is.
 
     Attributes:
         findings: violations, in the order in which they were detected.
@@ -106,9 +112,13 @@
         self,
         clock: Callable[[], float],
         last_fault_s: Callable[[], float],
+        *,
+        last_store_fault_s: Callable[[], float] | None = None,
     ) -> None:
         self._clock = clock
         self._last_fault_s = last_fault_s
+        self._last_store_fault_s = last_store_fault_s
+        self._evacuated_s_by_data_centre: dict[str, float] = {}
         self.jobs_by_id: dict[str, SubmittedJob] = {}
         self.findings: list[str] = []
         self._starts_by_task: dict[str, list[tuple[float, int]]] = (
@@ -137,6 +147,34 @@
         """Reports an error that a process has contained and logged."""
         self._report("FAULT", description)
 
+    # Requests of the operator.
+
+    def on_evacuation(self, data_centre: str) -> None:
+        """Records that the store has acknowledged an evacuation."""
+        self._evacuated_s_by_data_centre[data_centre] = self._clock()
+
+    def on_evacuation_ended(self, data_centre: str) -> None:
+        """Records that the operator is about to delete an evacuation."""
+        self._evacuated_s_by_data_centre.pop(data_centre, None)
+
+    def _check_evacuation(
+        self,
+        runner: platform_runner.PlatformRunner,
+        run: platform_runner.Run,
+    ) -> None:
+        since_s = self._evacuated_s_by_data_centre.get(runner.data_centre)
+        if since_s is None:
+            return
+        late_s = self._clock() - since_s
+        if self._last_store_fault_s is not None:
+            since_s = max(since_s, self._last_store_fault_s())
+        if self._clock() - since_s > EVACUATE_S:
+            self._report(
+                "EVAC",
+                f"{run.task} run {run.number} started in {runner.data_centre}"
+                f" {late_s:.2f} s after the request to evacuate it",
+            )
+
     # Events reported by runners.
 
     def on_start(
@@ -149,6 +187,7 @@
         now_s = self._clock()
         name = model.TaskName.parse(run.task)
         self._starts_by_task[run.task].append((now_s, run.number))
+        self._check_evacuation(runner, run)
         job = self.jobs_by_id.get(name.job)
         if job is None:
             self._report("UNASKED", f"{run.task} was never submitted")
--- a/pimentobridge/lab/faults.py
+++ b/pimentobridge/lab/faults.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import base64
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
+from pimentobridge.lab import evacuation_faults
 from pimentobridge.lab import faulty_client
 from pimentobridge.lab import incarnation_faults
 from pimentobridge.lab import runner_faults
@@ -18,7 +20,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
-    import random
 
     from pimentobridge.lab import world as world_lib
 
@@ -55,6 +56,8 @@
     "scheduler killed",
     "workers lose power",
 )
+# Share of the simulations with an evacuation of a data centre.
+EVACUATION_SHARE = 0.4
 # Share of the tasks first started during the fault that crash their runners.
 DEADLY_SHARE = 0.2
 ODD_HEARTBEAT_INTERVAL_S = 0.7
@@ -111,6 +114,32 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def random_evacuations(
+    seed: int, *, length_s: float, workers: int
+) -> list[Fault]:
+    """Returns evacuations of data centres for some seeds.
+
+    They have a generator of their own, so that a seed's other random choices
+    don't depend on them.
+
+    Args:
+        seed: seed of the simulation.
+        length_s: length of the traffic, during which they start.
+        workers: number of workers.
+    """
+    rng = random.Random(f"evacuations {seed}")
+    if rng.random() >= EVACUATION_SHARE:
+        return []
+    return [
+        Fault(
+            evacuation_faults.KIND,
+            at_s=round(rng.uniform(0.5, length_s * 0.6), 2),
+            for_s=round(rng.uniform(6.0, 15.0), 2),
+            targets=(rng.randrange(workers),),
+        )
+    ]
+
+
 def _random_targets(
     rng: random.Random, kind: str, *, entries: int, workers: int
 ) -> tuple[int, ...]:
@@ -152,14 +181,14 @@
     with trio.CancelScope() as time_update_scope:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_update_last_fault_time, world)
-            await _INJECTORS[fault.kind](world, fault)
+            await _ALL_INJECTORS[fault.kind](world, fault)
             time_update_scope.cancel()
 
 
 async def _update_last_fault_time(world: world_lib.World) -> None:
     """Keeps `last_fault_s` at the current time until cancelled."""
     while True:
-        world.last_fault_s = trio.current_time()
+        world.note_active_fault()
         await trio.sleep(0.1)
 
 
@@ -496,4 +525,9 @@
     "odd entries": _leave_odd_entries,
     "odd heartbeats": _send_odd_heartbeats,
 }
-KINDS = tuple(sorted(_INJECTORS))
+# Kinds that aren't among the choices of `random_faults`, whose further random
+# choices a longer list would change.
+_ALL_INJECTORS = _INJECTORS | {
+    evacuation_faults.KIND: evacuation_faults.evacuate
+}
+KINDS = tuple(sorted(_ALL_INJECTORS))
--- a/pimentobridge/lab/faulty_client.py
+++ b/pimentobridge/lab/faulty_client.py
@@ -74,6 +74,16 @@
         dataclasses.field(default_factory=dict)
     )
 
+    @property
+    def affect_all(self) -> bool:
+        """Whether the service is down or slow, or loses answers, for all."""
+        return (
+            self.outage is not None
+            or self.delay_factor > 1
+            or self.lost_answer_rate > 0
+            or self.late_execution_rate > 0
+        )
+
 
 class FaultyClient:
     """Calls a simulated service and injects the configured faults.
--- a/pimentobridge/lab/machines.py
+++ b/pimentobridge/lab/machines.py
@@ -46,6 +46,16 @@
 RUNNER_DRAIN_S = 4.0
 
 
+WORKERS_PER_RACK = 3
+# Racks belong to these in turn.
+DATA_CENTRES = ("north-a", "north-b")
+
+
+def data_centre_of(worker: int) -> str:
+    """Returns the data centre of a worker by the worker's number."""
+    return DATA_CENTRES[worker // WORKERS_PER_RACK % len(DATA_CENTRES)]
+
+
 def server_of(
     runner: platform_runner.PlatformRunner,
 ) -> faulty_client.Server | None:
@@ -133,7 +143,11 @@
 
 
 class WorkerHost:
-    """A simulated machine that runs an agent and a runner."""
+    """A simulated machine that runs an agent and a runner.
+
+    Attributes:
+        data_centre: where the machine is.
+    """
 
     def __init__(self, world: world_lib.World, number: int) -> None:
         self._world = world
@@ -141,6 +155,8 @@
         # How far the time of day of the machine is off.
         self._clock_offset_ms = 0
         self.node = f"worker-{number}"
+        self._rack = f"rack-{number // WORKERS_PER_RACK}"
+        self.data_centre = data_centre_of(number)
         self.address = types.Address(f"tcp://{self.node}:7000")
         self._refused_share = 0.0
         self.runner = self._new_runner()
@@ -163,6 +179,7 @@
             started_ms=world.next_start_ms() + self._clock_offset_ms,
             max_lease_s=MAX_LEASE_S,
             guards_capacity=world.runners_guard_capacity,
+            data_centre=self.data_centre,
         )
         runner.refused_share = self._refused_share
         return runner
@@ -236,14 +253,14 @@
                 {
                     "service": SERVICE,
                     "address": self.node,
-                    "zone": "north-a",
+                    "zone": self.data_centre,
                     "state": "draining" if runner.draining else "ready",
                     "capacity": {
                         "cpu": runner.capacity.cpu_millicores,
                         "memMb": runner.capacity.memory_mib,
                         "gpu": runner.capacity.accelerators,
                     },
-                    "labels": ["a", f"rack-{self._number // 3}"],
+                    "labels": ["a", self._rack],
                     "sequence": sequence,
                     "born": runner.started_ms,
                     "clockMs": runner.clock_s * 1000,
--- a/pimentobridge/lab/simulation.py
+++ b/pimentobridge/lab/simulation.py
@@ -94,6 +94,9 @@
         else faults_lib.random_faults(
             rng, length_s=TRAFFIC_S, entries=ENTRIES, workers=WORKERS
         )
+        + faults_lib.random_evacuations(
+            seed, length_s=TRAFFIC_S, workers=WORKERS
+        )
     )
     async with trio.open_nursery() as nursery:
         world = world_lib.World(
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -73,6 +73,8 @@
 
     Attributes:
         last_fault_s: time at which a fault was last active, in seconds.
+        last_store_fault_s: time at which the store was last down, slow or lost
+            answers for all machines, in seconds.
         runner_incarnations: number of runners created so far.
         time_of_day_jump_ms: how far the time of day that new runners take for
             their start has jumped, in milliseconds; whole seconds.
@@ -103,11 +105,14 @@
         self.advice_faults = faulty_client.CallFaults()
         self.nursery = nursery
         self.last_fault_s = float("-inf")
+        self.last_store_fault_s = float("-inf")
         self.store = platform_store.PlatformStore(trio.current_time)
         self.store_faults = faulty_client.CallFaults()
         self.runner_faults = faulty_client.CallFaults()
         self.checker = checkers.Checker(
-            trio.current_time, lambda: self.last_fault_s
+            trio.current_time,
+            lambda: self.last_fault_s,
+            last_store_fault_s=lambda: self.last_store_fault_s,
         )
         self.pool = platform_runner.RunnerPool(
             trio.current_time,
@@ -166,7 +171,7 @@
         return boot_settings.ProcessSettings(
             node=types.NodeId(node),
             ip=node,
-            data_centre=types.DataCentreName("north-a"),
+            data_centre=types.DataCentreName(machines.DATA_CENTRES[0]),
             region=types.RegionName("north"),
             internal_ports=(7000, 7015),
             store="store",
@@ -279,6 +284,12 @@
         self.store.put(operator_configuration.KEY, value)
         return len(data)
 
+    def note_active_fault(self) -> None:
+        """Notes that a fault is active now."""
+        self.last_fault_s = trio.current_time()
+        if self.store_faults.affect_all:
+            self.last_store_fault_s = self.last_fault_s
+
     @property
     def routes(self) -> int:
         """Number of routes in the newest configuration."""
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -150,16 +150,18 @@
 class MirrorCopy(messages.Message, frozen=True):
     """Items that are newer than the revision in a `MirrorQuery`.
 
-    Deleted items aren't listed.
+    Deleted items aren't listed; a whole copy shows them by what it lacks.
 
     Attributes:
         current: whether the store answers the sender; without that, the copy
             holds nothing.
         revision: store revision up to which the receiver then has all changes.
         items: the items.
+        whole: whether the items are all that exist at `revision`.
     """
 
     prefix: str
     current: bool
     revision: int = 0
     items: tuple[MirroredItem, ...] = ()
+    whole: bool = False
--- a/pimentobridge/testing/platform_runner.py
+++ b/pimentobridge/testing/platform_runner.py
@@ -199,6 +199,7 @@
         started_ms: start of this incarnation, Unix milliseconds.
         capacity: what it says it has room for; `resize` changes it.
         guards_capacity: whether it rejects starts that don't fit.
+        data_centre: where it is; empty if that doesn't matter.
         shrunk_s: monotonic time at which its capacity last shrank.
         up: whether the runner has not crashed.
         draining: whether the runner is being drained.
@@ -219,8 +220,10 @@
         started_ms: int,
         max_lease_s: float,
         guards_capacity: bool = True,
+        data_centre: str = "",
     ) -> None:
         self._pool = pool
+        self.data_centre = data_centre
         self.worker = worker
         self.capacity = capacity
         self.started_ms = started_ms
--- a/pimentobridge/testing/platform_store.py
+++ b/pimentobridge/testing/platform_store.py
@@ -62,6 +62,14 @@
         self._notify()
         return self._revision
 
+    def delete(self, key: str) -> int:
+        """Deletes a key outside a transaction; returns the new revision."""
+        self._delete_expired_leases()
+        self._revision += 1
+        self._delete(key)
+        self._notify()
+        return self._revision
+
     def compact_history(self) -> None:
         """Drops the change history, so that watches have to start anew."""
         self._compacted_revision = self._revision
--- a/tests/test_lab_checkers.py
+++ b/tests/test_lab_checkers.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from pimentobridge.core.scheduling import data_centre_evacuation
 from pimentobridge.core.scheduling import engine
 from pimentobridge.core.scheduling import fleet_shape
 from pimentobridge.daemons import recorder
@@ -176,3 +177,17 @@
         for seed in range(1, 9)
     ]
     assert sum(detected) >= 3
+
+
+# Guards against starts in a data centre 5.5 s and more after the store had
+# acknowledged the request to evacuate it, on a day of address look-ups.
+def test_the_checker_detects_starts_in_an_evacuated_data_centre(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The scheduler places units there and leaves what it has ordered.
+    fault = faults.Fault("data centre evacuated", 4.0, 15.0, (0,))
+    assert simulation.run(1, [fault]).findings == []
+    monkeypatch.setattr(
+        data_centre_evacuation.Evacuations, "covers", lambda *_: False
+    )
+    assert _rules(simulation.run(1, [fault]).findings) == {"EVAC"}
