Ask the policy where evacuated runs may go, and describe evacuations

A checkpointing run of a queue with a policy never moved, as its tickets had expired. A copy of more requests than fit in one message would have left the last ones out; these are sent without deletions.

--- a/pimentobridge/core/scheduling/data_centre_evacuation.py
+++ b/pimentobridge/core/scheduling/data_centre_evacuation.py
@@ -157,6 +157,7 @@
     candidates: placement.Candidates,
     *,
     demand_of: Callable[[ledger.RunEntry], placement.Demand],
+    on_no_room: Callable[[ledger.RunEntry, placement.Demand], None],
     log: Callable[..., None],
 ) -> None:
     """Stops the runs that save their work and that fit elsewhere now.
@@ -170,6 +171,7 @@
         candidates: the workers that accept tasks, with what the pass has left
             of their resources.
         demand_of: returns the requirements of the unit of a run.
+        on_no_room: called with a run that fits nowhere, and its requirements.
         log: writes a log line, given an event text and fields.
     """
     considered: set[tuple[object, ...]] = set()
@@ -181,6 +183,7 @@
         demand = demand_of(entry)
         assigned = placement.place(candidates, demand)
         if assigned is None:
+            on_no_room(entry, demand)
             continue
         for key in assigned:
             candidates.reserve(key, demand.step.footprint)
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -140,11 +140,18 @@
             name = advice_lib.StepName(*entry.name[:3])
             return self._demand(entry.tracked, name, entry.unit, now_s)
 
+        def on_no_room(
+            entry: ledger.RunEntry, demand: placement.Demand
+        ) -> None:
+            name = advice_lib.StepName(*entry.name[:3])
+            self._request_advice(candidates, entry.tracked, name, demand)
+
         data_centre_evacuation.migrate(
             self._engine.evacuations,
             self._engine.workers_by_incarnation,
             candidates,
             demand_of=demand_of,
+            on_no_room=on_no_room,
             log=self._log,
         )
 
--- a/pimentobridge/daemons/mirror_sharing.py
+++ b/pimentobridge/daemons/mirror_sharing.py
@@ -154,19 +154,19 @@
                 sender, control.MirrorCopy(query.prefix, current=False)
             )
             return
-        known = query.revision
-        whole = query.prefix in self._whole and mirror.revision > known
-        newer = [
-            item
-            for item in mirror.items_by_key.values()
-            if whole or item.revision > known
-        ]
-        newer.sort(key=lambda item: item.revision)
-        copied = _first_items(newer)
-        revision = mirror.revision
+        items = sorted(
+            mirror.items_by_key.values(), key=lambda item: item.revision
+        )
+        newer = [item for item in items if item.revision > query.revision]
+        copied, revision = _first_items(newer), mirror.revision
         if len(copied) < len(newer):
-            whole = False
             revision = min(revision, copied[-1].revision)
+        whole = query.prefix in self._whole and mirror.revision > query.revision
+        if whole:
+            all_items = _first_items(items)
+            # Too many for one copy are sent like those of other prefixes.
+            whole = len(all_items) == len(items)
+            copied = all_items if whole else copied
         if copied:
             logs.event(
                 "items to another entry",
--- a/tests/test_data_centre_evacuation.py
+++ b/tests/test_data_centre_evacuation.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pimentobridge.core import types
+from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
 from pimentobridge.testing import engine_harness
 
@@ -49,6 +50,8 @@
     harness = _harness(1)
     ((_, key),) = engine_harness.started(harness.submit(_job("a")))
     _evacuate(harness)
+    # The orders change at once, before the next report.
+    assert harness.jobs_being_stopped() == {"a" * 16}
     instructions = harness.observe(0)
     assert (instructions.starts, instructions.stops) == ((), (key,))
     # It waits again only once the worker has confirmed that it never runs.
@@ -111,6 +114,28 @@
     assert not _stopped(_harness(2), lasting)
 
 
+# Guards against runs that never move as the policy's tickets have expired.
+def test_the_policy_is_asked_where_a_run_may_go() -> None:
+    policy = configuration.AdvicePolicy(0.1, 0.1, 3.0)
+    queue = msgspec.structs.replace(engine_harness.queue(), advice=policy)
+    harness = _harness(1)
+    job = _job("a", checkpointing=True)
+    ((_, key),) = engine_harness.started(harness.submit(job))
+    harness.engine.jobs_by_id[job.id].job = msgspec.structs.replace(
+        job, queue=queue
+    )
+    harness.observe(0, running=engine_harness.running(key))
+    harness.incarnations.append(harness.incarnation(1))
+    harness.observe(1)
+    _evacuate(harness)
+    harness.plan()
+    question = harness.engine.advice.next_question(
+        harness.engine.placeable_workers(), harness.clock.monotonic()
+    )
+    assert question is not None
+    assert question.incarnations == (harness.incarnations[1].key,)
+
+
 def test_no_more_runs_are_stopped_than_fit_elsewhere() -> None:
     harness = _harness(1)
     half = model.Resources(8_000, 8_000, 4)
--- a/tests/test_evacuation_watch.py
+++ b/tests/test_evacuation_watch.py
@@ -155,6 +155,18 @@
     _play(script)
 
 
+# Guards against evacuations that never fit in one copy and are left out.
+def test_a_refused_entry_learns_of_large_requests() -> None:
+    async def script(site: Site) -> None:
+        site.entries[0].client.refused = True
+        for zone in "abc":
+            site.evacuate(zone, b"{" + b" " * 40_000 + b"}")
+        await trio.sleep(3.0)
+        assert site.entries[0].data_centres == {"a", "b", "c"}
+
+    _play(script)
+
+
 # Guards against an evacuation that an answer from before a copy brings back.
 def test_an_answer_older_than_a_copy_brings_nothing_back() -> None:
     async def script(site: Site) -> None:
--- a/tests/test_lab_checkers.py
+++ b/tests/test_lab_checkers.py
@@ -191,3 +191,19 @@
         data_centre_evacuation.Evacuations, "covers", lambda *_: False
     )
     assert _rules(simulation.run(1, [fault]).findings) == {"EVAC"}
+
+
+# Guards against an order that is carried out once a cut of the agent's
+# connections is over, though the evacuation began during the cut.
+def test_the_checker_detects_orders_that_are_not_withdrawn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    injected = [
+        faults.Fault("agents cut off", 5.3, 6.5, (0, 1, 2)),
+        faults.Fault("data centre evacuated", 6.0, 22.0, (0,)),
+    ]
+    assert simulation.run(1, injected).findings == []
+    monkeypatch.setattr(
+        data_centre_evacuation.Evacuations, "stop_unstarted", lambda *_: None
+    )
+    assert _rules(simulation.run(1, injected).findings) == {"EVAC"}
