Keep steps with mayMiss where they are, and play odd evacuation keys

A checkpointing step with mayMiss could have lost more of its tasks at a time than it allows. The fault "odd entries" writes malformed evacuation keys too.

--- a/pimentobridge/core/scheduling/data_centre_evacuation.py
+++ b/pimentobridge/core/scheduling/data_centre_evacuation.py
@@ -205,9 +205,7 @@
         for worker in workers_by_incarnation.values()
         if evacuations.covers(worker)
         for entry in worker.entries_by_key.values()
-        if entry.is_latest
-        and not entry.step.long_running
-        and (_is_stopping(entry) or entry.step.checkpointing)
+        if entry.is_latest and (_is_stopping(entry) or _may_move(entry))
     ]
     found.sort(
         key=lambda pair: (
@@ -219,5 +217,14 @@
     return found
 
 
+def _may_move(entry: ledger.RunEntry) -> bool:
+    """Returns whether a stop loses little work and makes no service miss."""
+    return (
+        entry.step.checkpointing
+        and not entry.step.long_running
+        and not entry.step.max_unavailable
+    )
+
+
 def _is_stopping(entry: ledger.RunEntry) -> bool:
     return entry.stop_requested or not entry.is_current
--- a/pimentobridge/testing/odd_entries.py
+++ b/pimentobridge/testing/odd_entries.py
@@ -11,6 +11,7 @@
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress
 from pimentobridge.daemons import keys
+from pimentobridge.platform import operator_requests
 from pimentobridge.testing import engine_harness
 
 NESTING = 100_000
@@ -56,11 +57,16 @@
 
 
 def values_by_key() -> dict[str, bytes]:
-    """Returns odd entries among the agents, the entries and the jobs.
+    """Returns odd entries among the agents, entries, jobs and evacuations.
 
     They include the leader's key, which no process holds then.
     """
-    entries = {keys.LEADER: NESTED_JSON}
+    entries = {
+        keys.LEADER: NESTED_JSON,
+        operator_requests.EVACUATE: b"{}",
+        operator_requests.EVACUATE + "z" * 1000: b"{}",
+        operator_requests.EVACUATE + "nowhere": NESTED_JSON,
+    }
     for number, address in enumerate(ADDRESSES):
         prefix = (keys.AGENTS, keys.ENTRIES)[number % 2]
         entries[prefix + address] = b"odd"
--- a/tests/test_data_centre_evacuation.py
+++ b/tests/test_data_centre_evacuation.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from pimentobridge.core import types
@@ -30,7 +32,7 @@
     harness.engine.set_evacuations({EVACUATED: 7})
 
 
-def _job(name: str, count: int = 1, **fields: bool) -> model.Job:
+def _job(name: str, count: int = 1, **fields: Any) -> model.Job:
     step = model.Step(count, engine_harness.WORKER, 30.0, **fields)
     return engine_harness.job(name * 16, step)
 
@@ -112,6 +114,9 @@
     assert not _stopped(_harness(2), _job("a"))
     lasting = _job("a", checkpointing=True, long_running=True)
     assert not _stopped(_harness(2), lasting)
+    # `mayMiss` limits how many tasks of the step may be away at a time.
+    limited = _job("a", checkpointing=True, max_unavailable=1)
+    assert not _stopped(_harness(2), limited)
 
 
 # Guards against runs that never move as the policy's tickets have expired.
