--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -17,6 +17,7 @@
 from pimentobridge.core.scheduling import crashes
 from pimentobridge.core.scheduling import departures
 from pimentobridge.core.scheduling import durations as durations_lib
+from pimentobridge.core.scheduling import data_centre_evacuation
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
@@ -30,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
@@ -63,6 +65,7 @@
         dirty_by_id: jobs with changes that aren't recorded in the store yet.
         needs_pass: a scheduling pass of the planner is due.
         passes: requests for passes at a time.
+        evacuations: the data centres in which nothing may start.
         incomplete: an error has ended the processing of a worker's report.
         departures: workers that depart or are expected to.
         evacuation: moves runs off departing workers.
@@ -115,6 +118,9 @@
             self.workers_by_incarnation, self.durations, log
         )
         self.backfill = backfill_lib.Backfill(log)
+        self.evacuations = data_centre_evacuation.Evacuations(
+            clock=clock, log=log
+        )
         self._placeable: frozenset[runs.IncarnationKey] = frozenset()
 
     # Jobs.
@@ -255,6 +261,7 @@
         self.departures.on_report(worker)
         if not worker.distrusted:
             self._apply_reported_runs(worker, observation)
+        self.evacuations.stop_unstarted(worker, self.workers_by_incarnation)
         if not worker.reachable:
             gangs.stop_incomplete(
                 worker, self.workers_by_incarnation, self._log
@@ -526,6 +533,27 @@
         unit.requeue_if_released()
         self.mark_changed(entry.tracked)
 
+    # Evacuations of data centres.
+
+    def set_evacuations(
+        self, revision_by_data_centre: Mapping[types.DataCentreName, int]
+    ) -> None:
+        """Replaces the evacuations in force.
+
+        Args:
+            revision_by_data_centre: the evacuated data centres, with the
+                store's revision of each request.
+        """
+        workers = self.workers_by_incarnation.values()
+        self.evacuations.replace(revision_by_data_centre, workers)
+        for worker in workers:
+            self.evacuations.stop_unstarted(worker, self.workers_by_incarnation)
+        self.needs_pass = True
+
+    def log_unmatched_evacuations(self) -> None:
+        """Logs the evacuations of data centres without workers."""
+        self.evacuations.log_unmatched(self.workers_by_incarnation.values())
+
     # Timeouts and due times.
 
     def declare_lost(self) -> None:
@@ -571,7 +599,7 @@
         return [
             worker
             for worker in self.workers_by_incarnation.values()
-            if worker.takes_tasks(now_s)
+            if worker.takes_tasks(now_s) and not self.evacuations.covers(worker)
         ]
 
     # Records.
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -15,6 +15,7 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import faster_workers
+from pimentobridge.core.scheduling import data_centre_evacuation
 from pimentobridge.core.scheduling import guarantees
 from pimentobridge.core.scheduling import holds
 from pimentobridge.core.scheduling import ledger
@@ -171,6 +172,9 @@
         with self._contain("moving runs off departing workers") as error:
             engine.evacuation.run(candidates, self._demand)
         engine.incomplete |= error.occurred
+        with self._contain("evacuating data centres") as error:
+            self._migrate_evacuated(candidates, now_s)
+        engine.incomplete |= error.occurred
         if self._waiting:
             engine.passes.request_at(now_s + RETRY_INTERVAL_S)
 
@@ -178,6 +182,30 @@
         """Returns the gauges of the decisions, by metric name."""
         return self._faster_workers.gauges()
 
+    def _migrate_evacuated(
+        self, candidates: placement.Candidates, now_s: float
+    ) -> None:
+        """Stops runs in evacuated data centres for which others have room."""
+
+        def demand_of(entry: ledger.RunEntry) -> placement.Demand:
+            name = advice_lib.StepName(*entry.name[:3])
+            return self._demand(entry.tracked, name, entry.unit, now_s)
+
+        def on_no_room(
+            entry: ledger.RunEntry, demand: placement.Demand
+        ) -> None:
+            name = advice_lib.StepName(*entry.name[:3])
+            self._request_advice(candidates, entry.tracked, name, demand)
+
+        data_centre_evacuation.migrate(
+            self._engine.evacuations,
+            self._engine.workers_by_incarnation,
+            candidates,
+            demand_of=demand_of,
+            on_no_room=on_no_room,
+            log=self._log,
+        )
+
     def _place_job(self, tracked: ledger.TrackedJob, current: _Pass) -> None:
         """Places a job's next waiting unit, makes room for it or holds some."""
         candidates = current.candidates
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -115,7 +115,9 @@
     with_preference = placed()
     candidates = placement.Candidates
     monkeypatch.setattr(
-        placement, "Candidates", lambda workers, _: candidates(workers)
+        placement,
+        "Candidates",
+        lambda workers, _, owners: candidates(workers, (), owners),
     )
     assert placed() == with_preference
 
