--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -15,9 +15,9 @@
 from pimentobridge.core.scheduling import advice as advice_lib
 from pimentobridge.core.scheduling import backfill as backfill_lib
 from pimentobridge.core.scheduling import crashes
+from pimentobridge.core.scheduling import data_centre_evacuation
 from pimentobridge.core.scheduling import departures
 from pimentobridge.core.scheduling import durations as durations_lib
-from pimentobridge.core.scheduling import data_centre_evacuation
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -14,8 +14,8 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import advice as advice_lib
-from pimentobridge.core.scheduling import faster_workers
 from pimentobridge.core.scheduling import data_centre_evacuation
+from pimentobridge.core.scheduling import faster_workers
 from pimentobridge.core.scheduling import guarantees
 from pimentobridge.core.scheduling import holds
 from pimentobridge.core.scheduling import ledger
