--- a/tests/test_lost_work.py
+++ b/tests/test_lost_work.py
@@ -92,12 +92,16 @@
 
 
 # Guards against losses by preemption that are taken for those of drains.
-def test_a_preempted_run_counts_as_preempted() -> None:
+# A stopped gang's members are listed as broken once the first has stopped.
+@pytest.mark.parametrize(
+    "cause", [runs.EndCause.STOPPED, runs.EndCause.GANG_BROKEN]
+)
+def test_a_preempted_run_counts_as_preempted(cause: runs.EndCause) -> None:
     harness, key = _run_for(model.Step(1, engine_harness.WORKER, 60.0), 0.0)
     urgent = model.Step(8, engine_harness.GPU, 2.0, gang=True)
     harness.submit(engine_harness.job("b" * 16, urgent, priority=0))
     harness.clock.advance(2.0)
     harness.observe(0, running=(runs.RunningTask(key, "", 60),))
     harness.plan()
-    harness.observe(0, ended=engine_harness.ended(key, runs.EndCause.STOPPED))
+    harness.observe(0, ended=engine_harness.ended(key, cause))
     assert _lost(harness) == {"stopped_preempted": 6 * 80}
