Decide on runs in evacuated data centres in one place only

The moves off draining workers had a second way to empty a data centre, which nothing used. Runs that an evacuation stops count as moved off a departing worker.

--- a/pimentobridge/core/scheduling/data_centre_evacuation.py
+++ b/pimentobridge/core/scheduling/data_centre_evacuation.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.scheduling import gangs
+from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import placement
 
 if TYPE_CHECKING:
@@ -17,7 +18,6 @@
     from pimentobridge.core import types
     from pimentobridge.core.jobs import runs
     from pimentobridge.core.scheduling import fleet
-    from pimentobridge.core.scheduling import ledger
 
 # Time after which a data centre counts as having no workers. A new scheduler
 # has heard of all by then, as agents report twice a second.
@@ -142,6 +142,7 @@
     for member in members:
         if not member.stop_requested:
             member.stop_requested = True
+            member.stop_reason = ledger.StopReason.DEPARTURE
             log(
                 event,
                 job=member.tracked.id,
--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -23,12 +23,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
     from pimentobridge.core import clock as clock_lib
-    from pimentobridge.core import types
     from pimentobridge.core.scheduling import departures as departures_lib
     from pimentobridge.core.scheduling import fleet
     from pimentobridge.core.scheduling import pass_requests
@@ -59,10 +57,6 @@
         passes: takes the time at which a run has to be looked at again.
         clock: source of time.
         log: writes a log line, given an event text and fields.
-
-    Attributes:
-        evacuated_data_centres: data centres in which nothing is started; runs
-            that save checkpoints leave them when there is room elsewhere.
     """
 
     def __init__(
@@ -85,7 +79,6 @@
         self._runs_moved = 0
         # The last logged verdict on each run that stays.
         self._stays_by_key: dict[runs.RunKey, move_verdicts.Verdict] = {}
-        self.evacuated_data_centres: Collection[types.DataCentreName] = ()
 
     def hold_room(
         self, held: holds.Holds, candidates: placement.Candidates
@@ -153,9 +146,7 @@
                 )
                 if any(member.stop_requested for member in members):
                     continue
-                if entry.step.long_running and not _may_move_service(
-                    entry, worker
-                ):
+                if entry.step.long_running and not entry.step.checkpointing:
                     continue
                 yield self._departing_run(members)
 
@@ -183,10 +174,7 @@
         ]
 
     def _departs(self, worker: fleet.TrackedWorker) -> bool:
-        return worker.incarnation is not None and (
-            worker.incarnation.draining
-            or worker.incarnation.data_centre in self.evacuated_data_centres
-        )
+        return worker.incarnation is not None and worker.incarnation.draining
 
     def _is_unfit(
         self, worker: fleet.TrackedWorker, demand: placement.Demand
@@ -205,7 +193,7 @@
             worker = self._workers_by_incarnation.get(key)
             if worker is None or not self._departs(worker):
                 continue
-            leaves_in_s = self._leaves_in_s(worker)
+            leaves_in_s = self._departures.leaves_in_s(worker)
             if leaves_in_s is None:
                 return move_verdicts.DepartingRun(members, None, (0.0,))
             if first is None or leaves_in_s < first_s:
@@ -213,11 +201,6 @@
         overruns_s = self._departures.overruns_s(first) if first else (0.0,)
         return move_verdicts.DepartingRun(members, first_s, overruns_s)
 
-    def _leaves_in_s(self, worker: fleet.TrackedWorker) -> float | None:
-        if worker.incarnation is not None and not worker.incarnation.draining:
-            return float("inf")
-        return self._departures.leaves_in_s(worker)
-
     def _move(
         self,
         run: move_verdicts.DepartingRun,
@@ -278,18 +261,3 @@
             ),
             why=verdict.value,
         )
-
-
-def _may_move_service(
-    entry: ledger.RunEntry, worker: fleet.TrackedWorker
-) -> bool:
-    """Returns whether a task without an end leaves a departing worker.
-
-    It leaves a worker that drains if it saves checkpoints. Nothing requires it
-    to leave an evacuated data centre.
-    """
-    return (
-        entry.step.checkpointing
-        and worker.incarnation is not None
-        and worker.incarnation.draining
-    )
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -315,7 +315,7 @@
         )
     )
     harness.observe(1)
-    harness.engine.evacuation.evacuated_data_centres = {"dc"}
+    harness.engine.set_evacuations({types.DataCentreName("dc"): 7})
     harness.plan()
     assert _stops(harness, key, 10) is moves
 
