Test processes under the load of untrusted clients

Clients that the operators don't control have ended a process. The tests start an entry and an agent with settings for 100 MB and 600 descriptors, load them, and check that the process lives, its peak of resident memory, its descriptors and that an ordinary request is answered. The loads and bounds follow from these settings.

--- a/pimentobridge/testing/platform_processes.py
+++ b/pimentobridge/testing/platform_processes.py
@@ -11,6 +11,7 @@
 from pimentobridge.platform import boot_settings
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     import pathlib
     import signal
 
@@ -72,20 +73,51 @@
                 env=os.environ | process.variables,
             )
 
-    def launch_entry(self, number: int, *, store: str) -> str:
-        """Starts an entry that uses the given store; returns its name."""
+    def launch_entry(
+        self,
+        number: int,
+        *,
+        store: str,
+        settings: Mapping[str, str] | None = None,
+    ) -> str:
+        """Starts an entry that uses the given store; returns its name.
+
+        Args:
+            number: determines the entry's name and IP address.
+            store: address of the store.
+            settings: further lines of its settings file.
+        """
         ip = self.entry_ip(number)
         fields = {
             "platform.address": store,
             "listenAddrs.front": f"{ip}:{self._ports['front']}",
             "listenAddrs.ready": f"{ip}:{self._ports['ready']}",
+            **(settings or {}),
         }
         return self._launch_daemon("entry", f"entry-{number}", ip, fields)
 
-    def launch_agent(self, number: int, *, store: str, runner: str) -> str:
-        """Starts an agent for the given runner; returns its name."""
+    def launch_agent(
+        self,
+        number: int,
+        *,
+        store: str,
+        runner: str,
+        settings: Mapping[str, str] | None = None,
+    ) -> str:
+        """Starts an agent for the given runner; returns its name.
+
+        Args:
+            number: determines the agent's name and IP address.
+            store: address of the store.
+            runner: address of the runner.
+            settings: further lines of its settings file.
+        """
         ip = self.agent_ip(number)
-        fields = {"platform.address": store, "app": runner}
+        fields = {
+            "platform.address": store,
+            "app": runner,
+            **(settings or {}),
+        }
         return self._launch_daemon("agent", f"agent-{number}", ip, fields)
 
     def entry_ip(self, number: int) -> str:
@@ -111,6 +143,12 @@
         if popen is not None and popen.poll() is None:
             popen.send_signal(number)
 
+    def pid(self, name: str) -> int:
+        """Returns the id of a process, whether or not it has exited."""
+        popen = self._processes_by_name[name].popen
+        assert popen is not None
+        return popen.pid
+
     def has_exited(self, name: str) -> bool:
         """Returns whether a process has exited."""
         popen = self._processes_by_name[name].popen
