Bound what untrusted clients make a process hold

Cause: hypercorn and the API bounded neither the bytes of incomplete requests nor the number of connections, and hypercorn kept a connection for its idle time-out after the client had closed it, shielded responses to clients that don't read from cancellation, and accepted HTTP/2 upgrades, whose malformed settings stopped the whole server.

Change: a ledger (http_limits.py) knows the phase and the received bytes of each connection of a process. When a limit is reached, the incomplete request that has made the least progress is refused with 503, and waiting connections are closed the same way. Records of large jobs are refused when those that are stored exceed a share of the memory. A request whose client leaves before its end isn't run: an incomplete deregistration was carried out before.

--- a/pimentobridge/daemons/http.py
+++ b/pimentobridge/daemons/http.py
@@ -14,6 +14,9 @@
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Type of the event that ends a request's body when the request is refused; an
+# extension of ASGI by `http_connection`.
+REFUSED = "pimentobridge.refused"
 
 Scope = dict[str, Any]
 
@@ -22,6 +25,14 @@
     """Raised when a request's body is longer than the limit."""
 
 
+class RequestRefusedError(Exception):
+    """Raised when the server refuses a request before its body is complete."""
+
+
+class DisconnectedError(Exception):
+    """Raised when the client leaves before its request is complete."""
+
+
 class Response(msgspec.Struct, frozen=True):
     """An HTTP response with its complete body."""
 
@@ -49,23 +60,28 @@
 
 
 async def read_body(receive: Any, limit: int = MAX_BODY_BYTES) -> bytes:
-    """Returns the complete body of a request, empty after a disconnect.
+    """Returns the complete body of a request.
 
     Raises:
         BodyTooLargeError: it is longer than `limit` bytes.
+        RequestRefusedError: the server needs the memory for other requests, or
+            the client is too slow.
+        DisconnectedError: the client has left before the end of the body.
     """
-    parts = []
-    size = 0
+    # One buffer, as a body in parts of a byte each would take many times its
+    # size as a list.
+    body = bytearray()
     while True:
         event = await receive()
+        if event["type"] == REFUSED:
+            raise RequestRefusedError
         if event["type"] == "http.disconnect":
-            return b""
-        parts.append(event.get("body", b""))
-        size += len(parts[-1])
-        if size > limit:
+            raise DisconnectedError
+        body += event.get("body", b"")
+        if len(body) > limit:
             raise BodyTooLargeError
         if not event.get("more_body", False):
-            return b"".join(parts)
+            return bytes(body)
 
 
 async def serve(
@@ -85,7 +101,22 @@
     if scope["type"] == "lifespan":
         await accept_lifespan(receive, send)
     elif scope["type"] == "http":
-        await send_response(send, await respond(scope, receive))
+        try:
+            response = await respond(scope, receive)
+        except DisconnectedError:
+            return
+        except RequestRefusedError:
+            response = overloaded()
+        await send_response(send, response)
+
+
+def overloaded() -> Response:
+    """Returns the response to a request that was refused and hasn't run."""
+    return Response(
+        503,
+        b'{"error": "not run: the server is overloaded."}',
+        headers=[(b"retry-after", b"1")],
+    )
 
 
 async def send_response(send: Any, response: Response) -> None:
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
 from typing import TYPE_CHECKING
 from typing import Any
@@ -12,6 +13,7 @@
 from pimentobridge.core import types
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import http
+from pimentobridge.daemons import http_limits
 from pimentobridge.daemons import job_entry
 from pimentobridge.daemons import job_metrics
 from pimentobridge.daemons import logs
@@ -50,16 +52,33 @@
     Args:
         entry: accepts jobs and reports their state.
         clock: source of time.
+        ledger: connections of the process; None for no limits.
     """
 
     def __init__(
-        self, entry: job_entry.JobEntry, *, clock: clock_lib.Clock
+        self,
+        entry: job_entry.JobEntry,
+        *,
+        clock: clock_lib.Clock,
+        ledger: http_limits.Ledger | None = None,
     ) -> None:
         self._entry = entry
         self._clock = clock
+        self._ledger = ledger
+        self._room: http_limits.RecordRoom | None = None
+        if ledger is not None:
+            self._room = http_limits.RecordRoom(
+                ledger.limits.record_bytes, lambda: entry.mirror.value_bytes
+            )
         # Jobs whose end was told to a caller; the oldest are forgotten first.
         self._ends_told: dict[types.JobId, None] = {}
-        self.metrics = job_metrics.Metrics(entry.gauges)
+        self.metrics = job_metrics.Metrics(self._gauges)
+
+    def _gauges(self) -> dict[str, float]:
+        values = self._entry.gauges()
+        return (
+            values if self._ledger is None else values | self._ledger.gauges()
+        )
 
     async def __call__(
         self, scope: http.Scope, receive: Any, send: Any
@@ -122,7 +141,10 @@
         job_id = types.JobId(suffix)
         deadline_s = self._deadline_s(scope)
         if method == "POST":
-            body = await self._read_body(receive)
+            try:
+                body = await self._read_body(receive)
+            except http.RequestRefusedError:
+                return self._refused(job_id, "too many requests at once")
             if body is None:
                 return _error(413, "the body is longer than the limit.")
             return await self._submit(body, job_id, queue, account, deadline_s)
@@ -168,7 +190,14 @@
                 why=problem,
             )
             return _error(400, f"not run: {problem} Submit a smaller job.")
-        outcome = await self._entry.submit(job, deadline_s)
+        size = len(body)
+        room = self._room
+        with contextlib.ExitStack() as stack:
+            if room is not None and not self._entry.may_be_accepted(job_id):
+                if not room.admits(size):
+                    return self._refuse_record(job_id)
+                stack.enter_context(room.reserved(size))
+            outcome = await self._entry.submit(job, deadline_s)
         logs.event(
             "job submitted",
             job=job_id,
@@ -187,6 +216,20 @@
             "the store didn't answer; repeat under the same id."
         )
 
+    def _refuse_record(self, job_id: types.JobId) -> http.Response:
+        assert self._ledger is not None
+        self._ledger.refusals.record(http_limits.Reason.RECORD_BYTES)
+        return self._refused(job_id, "too many bytes of jobs are stored")
+
+    def _refused(self, job_id: types.JobId, reason: str) -> http.Response:
+        """Returns a response for a submission that has not run."""
+        if self._entry.may_be_accepted(job_id):
+            return _outcome_unknown(
+                "an earlier request may have submitted it; repeat under the"
+                " same id."
+            )
+        return _not_run(reason)
+
     async def _query(
         self, job_id: types.JobId, deadline_s: float
     ) -> http.Response:
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -220,6 +220,10 @@
             job.id, progress_lib.encode_job(job), deadline_s
         )
 
+    def may_be_accepted(self, job_id: types.JobId) -> bool:
+        """Returns whether an earlier request may have submitted a job."""
+        return self._writer.may_be_written(job_id)
+
     def capacity_problem(self, job: model.Job) -> str:
         """Returns why no fleet known so far could run a job, or no text."""
         if keys.job(job.id) in self.mirror.items_by_key:
--- a/pimentobridge/daemons/job_entry_process.py
+++ b/pimentobridge/daemons/job_entry_process.py
@@ -9,6 +9,7 @@
 
 from pimentobridge.core import types
 from pimentobridge.daemons import boot_clock
+from pimentobridge.daemons import http_limits
 from pimentobridge.daemons import http_server
 from pimentobridge.daemons import job_api
 from pimentobridge.daemons import job_entry
@@ -67,7 +68,10 @@
             ),
         },
     )
-    app = job_api.CallerApi(entry, clock=clock)
+    ledger = http_limits.Ledger(
+        http_limits.for_machine(settings.memory_mb, settings.max_fds), clock
+    )
+    app = job_api.CallerApi(entry, clock=clock, ledger=ledger)
     binds = [settings.front, settings.ready]
     if settings.control:
         binds.append(settings.control)
@@ -80,12 +84,14 @@
             app,
             [listeners.bind_of(address) for address in binds],
             stopped,
+            ledger,
         )
         nursery.start_soon(
             http_server.serve_metrics,
             app.metrics,
             f"{settings.ip}:{http_server.METRICS_PORT}",
             stopped,
+            ledger,
         )
         logs.event("started", role="entry", settings=str(settings))
         await platform_process.wait_for_stop()
--- a/pimentobridge/daemons/job_writer.py
+++ b/pimentobridge/daemons/job_writer.py
@@ -90,6 +90,13 @@
             return control.WriteOutcome.UNKNOWN
         return control.WriteOutcome.NOT_WRITTEN
 
+    def may_be_written(self, job_id: types.JobId) -> bool:
+        """Returns whether an earlier request may have written a job."""
+        return (
+            job_id in self._uncertain_writes
+            or keys.job(job_id) in self._mirror.items_by_key
+        )
+
     def _remember_uncertain_write(self, job_id: types.JobId) -> None:
         self._uncertain_writes[job_id] = None
         if len(self._uncertain_writes) > MAX_UNCERTAIN_WRITES:
--- a/pimentobridge/daemons/store_mirror.py
+++ b/pimentobridge/daemons/store_mirror.py
@@ -38,6 +38,7 @@
     Attributes:
         items_by_key: the items that exist.
         revision: store revision up to which all changes are applied.
+        value_bytes: total size of the items' values.
         loaded: whether all items have been read once.
         synchronised_s: monotonic time of the latest answered read or watch.
     """
@@ -57,6 +58,7 @@
         self._changed = trio.Event()
         self.items_by_key: dict[str, kv_store.Item] = {}
         self.revision = 0
+        self.value_bytes = 0
         self.loaded = False
         self.synchronised_s = clock.monotonic()
         self._reachable = True
@@ -97,6 +99,9 @@
         current = self.items_by_key.get(item.key)
         if current is not None and current.revision >= item.revision:
             return
+        if current is not None:
+            self.value_bytes -= len(current.value or b"")
+        self.value_bytes += len(item.value or b"")
         if item.value is None:
             self.items_by_key.pop(item.key, None)
         else:
--- a/pimentobridge/daemons/worker_agent_process.py
+++ b/pimentobridge/daemons/worker_agent_process.py
@@ -9,6 +9,7 @@
 
 from pimentobridge.core import types
 from pimentobridge.daemons import boot_clock
+from pimentobridge.daemons import http_limits
 from pimentobridge.daemons import http_server
 from pimentobridge.daemons import job_metrics
 from pimentobridge.daemons import keys
@@ -41,6 +42,10 @@
     port = settings.internal_ports[0]
     address = types.Address(f"tcp://{settings.ip}:{port}")
     store = kv_store.KvStore(http_client.HttpClient(settings.store))
+    clock = boot_clock.BootClock()
+    ledger = http_limits.Ledger(
+        http_limits.for_machine(settings.memory_mb, settings.max_fds), clock
+    )
     agent = worker_agent.WorkerAgent(
         settings=settings,
         endpoint=zmq_transport.ZmqEndpoint(address),
@@ -48,7 +53,7 @@
             lambda: http_client.HttpConnection(settings.worker)
         ),
         store=store,
-        clock=boot_clock.BootClock(),
+        clock=clock,
         entries=tuple(
             types.Address(f"tcp://{seed.rpartition(':')[0]}:{port}")
             for seed in settings.seeds
@@ -64,12 +69,14 @@
             worker_api.WorkerApi(agent),
             [listeners.bind_of(settings.control)],
             stopped,
+            ledger,
         )
         nursery.start_soon(
             http_server.serve_metrics,
-            job_metrics.Metrics(agent.gauges),
+            job_metrics.Metrics(lambda: agent.gauges() | ledger.gauges()),
             f"{settings.ip}:{http_server.METRICS_PORT}",
             stopped,
+            ledger,
         )
         logs.event("started", role="agent", settings=str(settings))
         await platform_process.wait_for_stop()
--- a/pimentobridge/platform/boot_settings.py
+++ b/pimentobridge/platform/boot_settings.py
@@ -15,6 +15,9 @@
 from pimentobridge.core import types
 
 PATH_VARIABLE = "PIMENTOBRIDGE_SETTINGS"
+# Memory and file descriptors of a machine whose settings don't state them.
+DEFAULT_MEMORY_MB = 1024.0
+DEFAULT_MAX_FDS = 4096
 DEFAULT_PATH = "/etc/pimentobridge/boot.conf"
 
 
@@ -40,6 +43,8 @@
             before it is due.
         status_s: seconds for which the state of an ended job is kept.
         link_mbps: bandwidth of the machine's own link, in Mbit/s.
+        memory_mb: memory of the machine, in MiB.
+        max_fds: limit on the process's file descriptors.
     """
 
     node: types.NodeId
@@ -59,6 +64,8 @@
     early_s: float = 0.25
     status_s: float = 120.0
     link_mbps: float = 1000.0
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
 
 def path_from_environment() -> pathlib.Path:
@@ -143,4 +150,6 @@
         early_s=number("bounds.early_ms", 0.25, millisecond),
         status_s=number("bounds.status_s", 120.0),
         link_mbps=number("limits.linkMbps", 1000.0),
+        memory_mb=number("limits.memoryMb", DEFAULT_MEMORY_MB),
+        max_fds=int(number("limits.maxFds", DEFAULT_MAX_FDS)),
     )
