Check the limits on clients without a network, and describe them to operators

The shares of requests and records are smaller, as all of them together could exceed the memory. The other product interface is served by the same server, because one malformed h2c upgrade stopped it too. A heartbeat that is too long is answered with 413, not 500.

--- a/pimentobridge/daemons/api.py
+++ b/pimentobridge/daemons/api.py
@@ -119,6 +119,8 @@
             return
         try:
             response = await self._respond(scope, receive)
+        except http.DisconnectedError:
+            return
         except http.BodyTooLargeError:
             response = problem_response(
                 errors.ErrorKind.INVALID_REQUEST,
--- a/pimentobridge/daemons/http.py
+++ b/pimentobridge/daemons/http.py
@@ -107,6 +107,8 @@
             return
         except RequestRefusedError:
             response = overloaded()
+        except BodyTooLargeError:
+            response = Response(413, b'{"error": "the body is too long."}')
         await send_response(send, response)
 
 
--- a/pimentobridge/daemons/http_connection.py
+++ b/pimentobridge/daemons/http_connection.py
@@ -84,7 +84,7 @@
         try:
             if key is not None:
                 self._key = key
-                with self._scope, containment.contained("serving a client"):
+                with containment.contained("serving a client"), self._scope:
                     await self._serve()
         finally:
             if key is not None:
--- a/pimentobridge/daemons/http_limits.py
+++ b/pimentobridge/daemons/http_limits.py
@@ -38,11 +38,12 @@
 MIN_CLIENT_MB = 16
 MIN_CONNECTIONS = 16
 # Parts of the memory that the process itself doesn't need: for the bytes of
-# requests, for connections, and for records of accepted jobs, which a scheduler
-# holds more than twice.
-REQUEST_SHARE = 0.25
+# requests, for connections, and for records of accepted jobs. A request takes
+# about 1.5 times its bytes, and a record in a scheduler 2.5 times. The rest is
+# for the scheduler's own state.
+REQUEST_SHARE = 0.2
 CONNECTION_SHARE = 0.25
-RECORD_SHARE = 0.2
+RECORD_SHARE = 0.15
 # A connection without a request takes 18 KiB; the rest is for the buffers of
 # its socket, which are rarely full.
 CONNECTION_BYTES = 64 * 1024
--- a/pimentobridge/daemons/process.py
+++ b/pimentobridge/daemons/process.py
@@ -8,11 +8,10 @@
 from typing import Any
 
 from absl import logging
-import hypercorn.config
-import hypercorn.trio
 import trio
 
 from pimentobridge.core import types
+from pimentobridge.daemons import http_server
 from pimentobridge.daemons import logs
 from pimentobridge.daemons import node
 from pimentobridge.daemons import settings as settings_lib
@@ -24,7 +23,6 @@
 
 EXIT_OK = 0
 EXIT_UNFINISHED = 4
-ACCEPT_BACKLOG = 512
 
 
 async def serve(
@@ -70,13 +68,7 @@
 
 async def serve_http(app: Any, listen: str, stopped: trio.Event) -> None:
     """Serves an ASGI application until `stopped` is set."""
-    config = hypercorn.config.Config()
-    config.bind = [listen]
-    config.backlog = ACCEPT_BACKLOG
-    config.accesslog = None
-    config.errorlog = None
-    config.graceful_timeout = 1.0
-    await hypercorn.trio.serve(app, config, shutdown_trigger=stopped.wait)
+    await http_server.serve(app, [listen], stopped)
 
 
 async def wait_forever(stopped: trio.Event) -> None:
--- a/pimentobridge/daemons/request_queue.py
+++ b/pimentobridge/daemons/request_queue.py
@@ -14,8 +14,7 @@
     from collections.abc import Callable
 
 MAX_EVENTS = 10
-# The connection stops reading at this size. One event has at most the 64 KiB
-# that hypercorn reads at once.
+# The connection stops reading at this size, which one event may exceed.
 MAX_BYTES = 64 * 1024
 
 
--- a/pimentobridge/testing/platform_servers.py
+++ b/pimentobridge/testing/platform_servers.py
@@ -79,7 +79,10 @@
         if scope["type"] == "lifespan":
             await http.accept_lifespan(receive, send)
             return
-        content = await http.read_body(receive)
+        try:
+            content = await http.read_body(receive)
+        except http.DisconnectedError:
+            return
         query = scope["query_string"].decode()
         path = scope["path"] + (f"?{query}" if query else "")
         body = msgspec.json.decode(content) if content else None
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -11,6 +11,8 @@
 
 from pimentobridge.bench import harness
 from pimentobridge.daemons import fleet_record
+from pimentobridge.daemons import http
+from pimentobridge.daemons import http_limits
 from pimentobridge.daemons import job_api
 from pimentobridge.daemons import leadership
 from pimentobridge.lab import faulty_client
@@ -37,6 +39,7 @@
         key: str = world_lib.KEY,
         entry: int = 0,
         timeout_ms: int | str | None = None,
+        refused: bool = False,
     ) -> tuple[int, Any]:
         api = self._world.entries[entry].api
         assert api is not None
@@ -46,6 +49,8 @@
         sent: list[dict[str, Any]] = []
 
         async def receive() -> dict[str, Any]:
+            if refused:
+                return {"type": http.REFUSED}
             return {"type": "http.request", "body": encoded_body}
 
         async def send(event: dict[str, Any]) -> None:
@@ -547,3 +552,56 @@
     assert "needs 3 tasks" in refused[1]["error"]
     assert unknown[0] == 410
     assert accepted[0] == 200
+
+
+def test_a_refused_submission_has_not_run() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        path = f"/queue-1/{JOB_ID}"
+        refused = await caller.call("POST", path, VALID_JOB, refused=True)
+        state = await caller.call("GET", path)
+        return refused[0], state[0]
+
+    assert run_scenario(scenario) == (503, 410)
+
+
+def test_a_refused_repetition_of_a_submission_is_not_called_not_run() -> None:
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        path = f"/queue-1/{JOB_ID}"
+        accepted = await caller.call("POST", path, VALID_JOB)
+        refused = await caller.call("POST", path, VALID_JOB, refused=True)
+        return accepted[0], refused[0]
+
+    assert run_scenario(scenario) == (200, 504)
+
+
+def test_jobs_beyond_the_memory_of_an_entry_are_refused() -> None:
+    record_bytes = 100_000
+    large_job = {"spec": SPEC, "steps": [{**STEP, "image": "i" * 20_000}]}
+
+    async def scenario(world: world_lib.World, caller: Caller) -> Any:
+        machine = world.entries[0]
+        assert machine.api is not None
+        limits = http_limits.Limits(
+            request_bytes=record_bytes,
+            connections=1,
+            unread=1,
+            record_bytes=record_bytes,
+        )
+        machine.api = job_api.CallerApi(
+            machine.api._entry,
+            clock=machine.api._clock,
+            ledger=http_limits.Ledger(limits, machine.api._clock),
+        )
+        statuses = [
+            (await caller.call("POST", f"/queue-1/{n:016x}", large_job))[0]
+            for n in range(6)
+        ]
+        repeated = await caller.call("POST", f"/queue-1/{0:016x}", large_job)
+        small = await caller.call("POST", f"/queue-1/{JOB_ID}", VALID_JOB)
+        return statuses, repeated[0], small[0]
+
+    statuses, repeated, small = run_scenario(scenario)
+    assert statuses[0] == 200
+    assert statuses[-1] == 503
+    assert sorted(statuses) == statuses
+    assert (repeated, small) == (200, 200)
