Write jobs of very many steps one at a time

Cause: a legal body of 252,023 bytes holds 21,000 steps, which take 4.8 MB when decoded. A crowd of such jobs waiting for the store could exceed the memory of an entry. Change: the room for records counts the decoded steps of jobs that are being written.

--- a/pimentobridge/daemons/http_limits.py
+++ b/pimentobridge/daemons/http_limits.py
@@ -70,6 +70,8 @@
 LOG_INTERVAL_S = 1.0
 # A job with a spec of the largest size has a smaller record than this.
 LARGE_RECORD_BYTES = 16 * 1024
+# Memory of one decoded step; a body of 262,000 bytes can hold 21,833 of them.
+STEP_BYTES = 220
 
 _HEAD_END = re.compile(rb"\n\r?\n")
 
@@ -179,20 +181,29 @@
         self._stored_bytes = stored_bytes
         self._written_bytes = 0
 
-    def admits(self, size: int) -> bool:
+    def admits(self, record_bytes: int, steps: int) -> bool:
         """Returns whether there is room for a record.
 
         Large records may take half of the room only, so that ordinary ones
-        find room after them.
+        find room after them. A job that is written alone needs room for its
+        record only, so that none is too large.
+
+        Args:
+            record_bytes: size of the record.
+            steps: number of steps of the job.
         """
         limit = self._limit_bytes
-        if size > LARGE_RECORD_BYTES:
+        size = record_bytes
+        if self._written_bytes:
+            size += self._written_bytes + steps * STEP_BYTES
+        if record_bytes > LARGE_RECORD_BYTES:
             limit //= 2
-        return self._stored_bytes() + self._written_bytes + size <= limit
+        return self._stored_bytes() + size <= limit
 
     @contextlib.contextmanager
-    def reserved(self, size: int) -> Iterator[None]:
-        """Reserves room while a record is being written."""
+    def reserved(self, record_bytes: int, steps: int) -> Iterator[None]:
+        """Reserves room for a record and its job while it is being written."""
+        size = record_bytes + steps * STEP_BYTES
         self._written_bytes += size
         try:
             yield
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -190,13 +190,13 @@
                 why=problem,
             )
             return _error(400, f"not run: {problem} Submit a smaller job.")
-        size = len(body)
         room = self._room
         with contextlib.ExitStack() as stack:
             if room is not None and not self._entry.may_be_accepted(job_id):
-                if not room.admits(size):
+                size = len(progress_lib.encode_job(job))
+                if not room.admits(size, len(job.steps)):
                     return self._refuse_record(job_id)
-                stack.enter_context(room.reserved(size))
+                stack.enter_context(room.reserved(size, len(job.steps)))
             outcome = await self._entry.submit(job, deadline_s)
         logs.event(
             "job submitted",
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -275,14 +275,23 @@
     stored = 0
     large = http_limits.LARGE_RECORD_BYTES + 1
     room = http_limits.RecordRoom(4 * large, lambda: stored)
-    assert room.admits(large)
-    with room.reserved(large):
-        assert room.admits(large)
-        with room.reserved(large):
-            assert not room.admits(large)
-            assert room.admits(1000)
+    assert room.admits(large, 0)
+    with room.reserved(large, 0):
+        assert room.admits(large, 0)
+        with room.reserved(large, 0):
+            assert not room.admits(large, 0)
+            assert room.admits(1000, 1)
     stored = 4 * large
-    assert not room.admits(1000)
+    assert not room.admits(1000, 1)
+
+
+def test_jobs_of_many_steps_are_written_one_at_a_time() -> None:
+    # A decoded step takes many times its bytes in a body.
+    room = http_limits.RecordRoom(1_000_000, lambda: 0)
+    assert room.admits(200_000, 20_000)
+    with room.reserved(200_000, 20_000):
+        assert not room.admits(200_000, 20_000)
+    assert room.admits(200_000, 20_000)
 
 
 def _body_event(size: int, *, more: bool = True) -> dict[str, object]:
