Release connections after CONNECT, and never refuse a request that runs

Cause: after an accepted CONNECT hypercorn's reader waits for ever, and such connections count as served, so that they can't be closed for others. A request whose last bytes had to wait for the application kept the phase of an incomplete one while it ran, if the next request was pipelined behind it, and its connection could be closed meanwhile. Change: the reader ends with the last request, and the phase changes when the application has made room. Without these changes the two new tests fail.

--- a/pimentobridge/daemons/http_connection.py
+++ b/pimentobridge/daemons/http_connection.py
@@ -73,6 +73,7 @@
         )
         self._ledger = ledger
         self._scope = trio.CancelScope()
+        self._reader = trio.CancelScope()
         self._receiving = True
         self._key: http_limits.ConnectionId
         self._protocol: Protocol
@@ -109,6 +110,18 @@
         """Reports that the client may send no more for the moment."""
         self.settle(http_limits.Phase.BODY)
 
+    def on_room(self) -> None:
+        """Reports that received bytes are handled again.
+
+        Otherwise a request that is complete by then could be refused while it
+        runs.
+        """
+        self.settle(http_limits.Phase.ACTIVE)
+
+    def stop_receiving(self) -> None:
+        """Ends the reader of a connection that serves no further request."""
+        self._reader.cancel()
+
     async def protocol_send(self, event: events.Event) -> None:
         """Sends bytes, closes the connection, or starts or stops its timer."""
         if isinstance(event, events.RawData):
@@ -145,7 +158,8 @@
             )
             self.protocol = self._protocol  # type: ignore[assignment]
             await self.idle_task.restart(task_group, self._idle_timeout)
-            await self._read_data()
+            with self._reader:
+                await self._read_data()
             self._receiving = False
             await self.idle_task.stop()
         await self._close()
@@ -198,7 +212,9 @@
     ) -> Any:
         """Starts the application; returns what passes it events."""
         del config
-        queue = request_queue.RequestQueue(self._connection.on_full)
+        queue = request_queue.RequestQueue(
+            self._connection.on_full, self._connection.on_room
+        )
         self._connection.queue = queue
         self.spawn(_run_app, app, scope, queue, send)
         return queue.put
@@ -305,4 +321,11 @@
     async def _maybe_recycle(self) -> None:
         left_bytes = len(self.connection.trailing_data[0])
         self._owner.answered(left_bytes)
+        is_last = not (
+            self.connection.our_state is h11.DONE
+            and self.connection.their_state is h11.DONE
+        )
         await super()._maybe_recycle()
+        if is_last:
+            # hypercorn's reader would wait for ever after an accepted CONNECT.
+            self._owner.stop_receiving()
--- a/pimentobridge/daemons/request_queue.py
+++ b/pimentobridge/daemons/request_queue.py
@@ -26,10 +26,14 @@
 
     Args:
         on_full: called when the connection has to wait for the application.
+        on_room: called when it goes on after that.
     """
 
-    def __init__(self, on_full: Callable[[], None]) -> None:
+    def __init__(
+        self, on_full: Callable[[], None], on_room: Callable[[], None]
+    ) -> None:
         self._on_full = on_full
+        self._on_room = on_room
         self._events: collections.deque[dict[str, Any]] = collections.deque()
         self._bytes = 0
         self._ended = False
@@ -41,9 +45,11 @@
         await trio.lowlevel.checkpoint()
         if event["type"] == "http.disconnect":
             self.finish()
-        while self._full and not self._ended:
+        if self._full and not self._ended:
             self._on_full()
-            await self._changed.wait()
+            while self._full and not self._ended:
+                await self._changed.wait()
+            self._on_room()
         if not self._ended:
             self._events.append(event)
             self._bytes += len(event.get("body", b""))
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -216,3 +216,37 @@
 
     server._config.keep_alive_timeout = 10 * HANG_LIMIT_S
     assert trio.run(scenario) == 0
+
+
+def test_an_accepted_connect_releases_the_connection() -> None:
+    # The reader waited for ever for the end of the other protocol.
+    server = Server()
+    answer = _run(
+        server, b"CONNECT /a HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1"
+    )
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert len(server.ledger) == 0
+
+
+def test_a_complete_request_is_not_refused_while_it_runs() -> None:
+    """Guards against a refusal of a request that has begun to run.
+
+    The body fills the queue, and the next request is pipelined behind it.
+    """
+    server = Server(request_bytes=1_000_000)
+    phases: list[http_limits.Phase] = []
+
+    async def respond(scope: http.Scope, receive: Any) -> http.Response:
+        await trio.testing.wait_all_tasks_blocked()
+        await http.read_body(receive)
+        await trio.testing.wait_all_tasks_blocked()
+        phases.append(server.ledger.phase(http_limits.ConnectionId(0)))
+        return http.Response(200, b"")
+
+    server._respond = respond  # type: ignore[method-assign]
+    # The last part of the body is the one that has to wait for room.
+    head = HEAD + b"Content-Length: 82000\r\n\r\n"
+    body = b"b" * 82_000
+    answer = _run(server, head + body + b"GET / HTTP/1.1\r\n")
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert phases == [http_limits.Phase.ACTIVE]
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -294,20 +294,21 @@
     assert room.admits(200_000, 20_000)
 
 
+def _queue() -> request_queue.RequestQueue:
+    return request_queue.RequestQueue(lambda: None, lambda: None)
+
+
 def _body_event(size: int, *, more: bool = True) -> dict[str, object]:
     return {"type": "http.request", "body": b"b" * size, "more_body": more}
 
 
 def test_a_full_queue_blocks_nobody_after_the_application_has_ended() -> None:
     # With hypercorn's own queue the connection was never released.
-    async def scenario() -> int:
-        waits = 0
-
-        def on_full() -> None:
-            nonlocal waits
-            waits += 1
-
-        queue = request_queue.RequestQueue(on_full)
+    async def scenario() -> list[str]:
+        waits: list[str] = []
+        queue = request_queue.RequestQueue(
+            lambda: waits.append("full"), lambda: waits.append("room")
+        )
         with trio.fail_after(5):
             async with trio.open_nursery() as nursery:
                 for _ in range(3):
@@ -319,12 +320,12 @@
             await queue.put({"type": "http.disconnect"})
         return waits
 
-    assert trio.run(scenario) == 2
+    assert trio.run(scenario) == ["full", "full", "room", "room"]
 
 
 def test_a_body_is_read_in_order() -> None:
     async def scenario() -> bytes:
-        queue = request_queue.RequestQueue(lambda: None)
+        queue = _queue()
 
         async def send() -> None:
             for _ in range(50):
@@ -349,7 +350,7 @@
     ended_by: str, error: type[Exception]
 ) -> None:
     async def scenario() -> None:
-        queue = request_queue.RequestQueue(lambda: None)
+        queue = _queue()
         await queue.put(_body_event(10))
         getattr(queue, ended_by)()
         await http.read_body(queue.get)
