--- a/tests/test_lab_checkers.py
+++ b/tests/test_lab_checkers.py
@@ -165,7 +165,9 @@
     ) -> None:
         if refused in worker.entries_by_key:
             worker.health.on_refused(trio.current_time())
-        self._release_run(worker, refused, "start refused")
+        self._release_run(
+            worker, refused, "start refused", self.lost_work.on_stop_confirmed
+        )
 
     monkeypatch.setattr(engine.Engine, "_on_refusal", release)
     injected = [
