--- a/tests/test_lab_checkers.py
+++ b/tests/test_lab_checkers.py
@@ -170,15 +170,19 @@
         )
 
     monkeypatch.setattr(engine.Engine, "_on_refusal", release)
+    # Faults of two workers show the bug in two to three of eight seeds, in which
+    # ones depends on the order of events.
     injected = [
-        faults.Fault("runners unhealthy, answers cut off", at_s, 7.0, (0, 1))
+        faults.Fault(
+            "runners unhealthy, answers cut off", at_s, 7.0, (0, 1, 2, 3)
+        )
         for at_s in (2.0, 10.0, 18.0, 26.0)
     ]
     detected = [
         "TWICE" in _rules(simulation.run(seed, injected).findings)
         for seed in range(1, 9)
     ]
-    assert sum(detected) >= 3
+    assert sum(detected) >= 4
 
 
 # Guards against starts in a data centre 5.5 s and more after the store had
