Test the settings and the byte count that the limits follow from

A limit on descriptors that is infinite is rejected with the other malformed settings; it raised an OverflowError.

--- a/pimentobridge/platform/boot_settings.py
+++ b/pimentobridge/platform/boot_settings.py
@@ -111,7 +111,7 @@
             values[key.strip()] = value.strip()
     try:
         return _settings_from(values)
-    except (KeyError, ValueError) as error:
+    except (KeyError, ValueError, OverflowError) as error:
         raise errors.ProblemError(
             errors.Problem(
                 errors.ErrorKind.INVALID_SETTINGS,
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -135,6 +135,31 @@
         boot_settings.parse(text)
 
 
+SETTINGS = """node=entry-0
+ip=127.0.0.1
+zone=north-a
+region=north
+internalPorts=1,2
+platform.address=127.0.0.1:3
+"""
+
+
+def test_settings_state_the_memory_and_descriptors_of_a_machine() -> None:
+    settings = boot_settings.parse(
+        f"{SETTINGS}limits.memoryMb=200\nlimits.maxFds=4100\n"
+    )
+    assert (settings.memory_mb, settings.max_fds) == (200, 4100)
+    unstated = boot_settings.parse(SETTINGS)
+    assert unstated.memory_mb == boot_settings.DEFAULT_MEMORY_MB
+    assert unstated.max_fds == boot_settings.DEFAULT_MAX_FDS
+
+
+@pytest.mark.parametrize("value", ["many", "inf"])
+def test_settings_with_an_unusable_limit_are_rejected(value: str) -> None:
+    with pytest.raises(errors.ProblemError):
+        boot_settings.parse(f"{SETTINGS}limits.maxFds={value}\n")
+
+
 class _FixedClient:
     """Returns the same response to every call."""
 
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -8,6 +8,7 @@
 import trio
 
 from pimentobridge.bench import harness
+from pimentobridge.core import clock as clock_lib
 from pimentobridge.core import types
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import mirror_sharing
@@ -146,3 +147,18 @@
     assert found == []
     found = harness.run_virtual(lambda: _keys_after_late_copy(deleted=False))
     assert len(found) == 1
+
+
+def test_the_bytes_of_the_values_are_those_of_the_items_that_exist() -> None:
+    mirror = store_mirror.StoreMirror(
+        store=SilentStore(0.0),
+        prefix="items/",
+        clock=clock_lib.ManualClock(),
+        on_change=lambda _: None,
+    )
+    for revision, (key, value) in enumerate(
+        [("a", b"12345"), ("b", b"123"), ("a", b"12"), ("b", None)], start=1
+    ):
+        mirror.offer(kv_store.Item(key, value, revision))
+    mirror.offer(kv_store.Item("a", b"old and long", 1))
+    assert mirror.value_bytes == 2
