Learn which images slow each other on a worker, and separate them

Tasks of some images slow each other down beyond the resources that they request, and nothing reported or used it. The scheduler now learns the slowdown for each ordered pair of images from progress and from reported tail latencies, and prefers workers without an image that interferes.

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -84,11 +84,15 @@
     Attributes:
         checkpoint: its latest checkpoint; empty for none.
         percent: progress from 0 to 100.
+        metric: rough figure of the last half second: tail latency in
+            milliseconds for a task with a latency target, CPU in use in
+            millicores for others; None if unknown.
     """
 
     key: RunKey
     checkpoint: str
     percent: int
+    metric: int | None = None
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -21,6 +21,7 @@
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
+from pimentobridge.core.scheduling import interference as interference_lib
 from pimentobridge.core.scheduling import lease_expiry
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import lost_work
@@ -72,6 +73,7 @@
         lost_work: counters of the work that runs have lost.
         durations: expected run times of tasks.
         speeds: speeds of the workers.
+        interference: slowdowns of tasks by co-located ones.
     """
 
     def __init__(
@@ -117,6 +119,9 @@
         self.speeds = speeds_lib.Speeds(
             self.workers_by_incarnation, self.durations, log
         )
+        self.interference = interference_lib.Interference(
+            self.workers_by_incarnation, log
+        )
         self.backfill = backfill_lib.Backfill(log)
         self.evacuations = data_centre_evacuation.Evacuations(
             clock=clock, log=log
@@ -406,7 +411,7 @@
                 now_s = self._clock.monotonic()
                 entry.observed.update(task.percent, now_s)
                 entry.observed.update_checkpoint(task.checkpoint, now_s)
-                self.speeds.on_progress(worker, entry, now_s)
+                self._learn_pace(worker, entry, task.metric)
                 self._update_checkpoint(entry, task.checkpoint)
             elif task.key not in ended:
                 untracked[task.key] = ledger.footprint_of(
@@ -430,6 +435,21 @@
             task.key for task in observation.running
         )
 
+    def _learn_pace(
+        self,
+        worker: fleet.TrackedWorker,
+        entry: ledger.RunEntry,
+        metric: int | None,
+    ) -> None:
+        now_s = self._clock.monotonic()
+        segment = entry.observed.take_segment()
+        if segment is not None:
+            slowdown = self.interference.slowdown_of(worker, entry)
+            self.speeds.on_progress(worker, entry, segment, slowdown, now_s)
+        self.interference.on_running(
+            worker, entry, segment=segment, metric=metric, now_s=now_s
+        )
+
     def _update_checkpoint(self, entry: ledger.RunEntry, value: str) -> None:
         if value and entry.is_current and value != entry.unit.checkpoint:
             entry.unit.checkpoint = value
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 
 if TYPE_CHECKING:
     from pimentobridge.core import types
+    from pimentobridge.core.scheduling import kinds
     from pimentobridge.core.scheduling import ledger
 
 # A worker whose last report is older than this gets no new tasks; reports are
@@ -43,6 +45,7 @@
         acknowledged_end: number up to which all ends are recorded; it is sent
             to the worker as an acknowledgement.
         used: resources reserved by tracked and untracked runs.
+        runs_by_kind: number of tracked runs of each kind.
         reachable: whether its agent could connect to it lately.
         agent_state: what its agent said last of itself.
         distrusted: an error has ended the processing of one of its reports, so
@@ -67,6 +70,9 @@
     )
     acknowledged_end: int = 0
     used: model.Resources = model.NO_RESOURCES
+    runs_by_kind: collections.Counter[kinds.Kind] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     reachable: bool = True
     agent_state: runs.AgentState = runs.AgentState.SERVING
     distrusted: bool = False
@@ -90,6 +96,7 @@
     def add(self, entry: ledger.RunEntry) -> None:
         """Adds a run that may exist here and reserves resources for it."""
         self.entries_by_key[entry.key] = entry
+        self.runs_by_kind[entry.kind] += 1
         if entry.unit.crashed_on_by_member:
             self._suspect_keys.add(entry.key)
         self.used += entry.step.footprint
@@ -100,8 +107,19 @@
         entry = self.entries_by_key.pop(key, None)
         if entry is not None:
             self.used -= entry.step.footprint
+            self.runs_by_kind[entry.kind] -= 1
+            if not self.runs_by_kind[entry.kind]:
+                del self.runs_by_kind[entry.kind]
         return entry
 
+    def neighbours_of(self, kind: kinds.Kind) -> frozenset[kinds.Kind]:
+        """Returns the kinds of the runs that are here beside one of `kind`."""
+        return frozenset(
+            other
+            for other, count in self.runs_by_kind.items()
+            if other != kind or count > 1
+        )
+
     def set_untracked(
         self, untracked: dict[runs.RunKey, model.Resources]
     ) -> None:
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -10,6 +10,7 @@
 from pimentobridge.core.jobs import observed_progress
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import kinds
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -102,6 +103,9 @@
         observed: progress that the worker has reported to this scheduler.
         backfilled_for: the job in whose reserved capacity this scheduler has
             placed the run; None if it is of another priority or there is none.
+        neighbours: kinds of the other tasks on its worker at the last report;
+            None before the first.
+        neighbours_since_s: monotonic time from which they were the same.
     """
 
     tracked: TrackedJob
@@ -117,6 +121,8 @@
         default_factory=observed_progress.ObservedProgress
     )
     backfilled_for: types.JobId | None = None
+    neighbours: frozenset[kinds.Kind] | None = None
+    neighbours_since_s: float = 0.0
 
     @property
     def key(self) -> runs.RunKey:
@@ -128,6 +134,11 @@
         """The step that the task belongs to."""
         return self.tracked.step_of(self.name.step)
 
+    @property
+    def kind(self) -> kinds.Kind:
+        """The kind of the task."""
+        return kinds.kind_of(self.tracked.job, self.name.step)
+
     def execution_time_s(self, now_s: float) -> float:
         """Returns the approximate execution time so far, in seconds.
 
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -19,6 +19,7 @@
 
     from pimentobridge.core import types
     from pimentobridge.core.scheduling import fleet
+    from pimentobridge.core.scheduling import kinds
 
 FreeResources = dict[runs.IncarnationKey, model.Resources]
 
@@ -45,6 +46,7 @@
         due_in_s: time until the completion that the queue promises, in
             seconds; infinite for a job without such a time.
         job: the unit's job.
+        kind: kind of its tasks; None if that doesn't matter.
     """
 
     step: model.Step
@@ -60,6 +62,7 @@
     expected_s: float = 0.0
     due_in_s: float = float("inf")
     job: types.JobId | None = None
+    kind: kinds.Kind | None = None
 
     def may_run_on(self, worker: fleet.TrackedWorker) -> bool:
         """Returns whether a worker may run the step, given enough capacity."""
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -18,6 +18,7 @@
 from pimentobridge.core.scheduling import faster_workers
 from pimentobridge.core.scheduling import guarantees
 from pimentobridge.core.scheduling import holds
+from pimentobridge.core.scheduling import kinds
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import pace as pace_lib
 from pimentobridge.core.scheduling import placement
@@ -106,6 +107,7 @@
         # In the order of their importance, see `preferences`.
         self._preferences: tuple[preferences.Preference, ...] = (
             engine.departures,
+            engine.interference,
             self._pace,
         )
         # Jobs with units that didn't fit in the current pass.
@@ -121,6 +123,7 @@
             self._preferences,
             engine.backfill.owner_by_key,
         )
+        engine.interference.update(now_s)
         self._pace.start_pass(candidates.workers_by_key.values(), now_s)
         entitled = self._entitled_jobs()
         capacity = self._largest_worker()
@@ -323,6 +326,7 @@
             expected_s=ranking.expected_s(tracked, name.step),
             due_in_s=ranking.due_in_s(tracked, now_s),
             job=tracked.id,
+            kind=kinds.kind_of(tracked.job, name.step),
         )
 
     def _entitled_jobs(self) -> set[types.JobId]:
@@ -384,6 +388,10 @@
         engine.mark_changed(tracked)
         workers = [engine.workers_by_incarnation[key] for key in set(assigned)]
         expected_s = self._pace.expected_on(workers, demand)
+        interference = max(
+            engine.interference.cost(worker, demand) for worker in workers
+        )
+        engine.interference.on_placed(interference)
         started = []
         for member, key in enumerate(assigned):
             name = model.TaskName(*step_name, unit.first + member)
@@ -413,6 +421,7 @@
             request=list(msgspec.structs.astuple(step.request)),
             estimate_s=step.estimate_s,
             expected_s=round(expected_s, 2),
+            interference=interference,
             checkpointing=step.checkpointing,
             waited_s=round(self._clock.monotonic() - tracked.first_seen_s, 3),
             past=self._jobs_passed(tracked, assigned),
--- a/pimentobridge/core/scheduling/speeds.py
+++ b/pimentobridge/core/scheduling/speeds.py
@@ -172,13 +172,24 @@
         self._updated_s = float("-inf")
 
     def on_progress(
-        self, worker: fleet.TrackedWorker, entry: ledger.RunEntry, now_s: float
+        self,
+        worker: fleet.TrackedWorker,
+        entry: ledger.RunEntry,
+        segment: observed_progress.Segment,
+        slowdown: float,
+        now_s: float,
     ) -> None:
-        """Learns from the progress of a run that its worker has reported."""
-        segment = entry.observed.take_segment()
+        """Learns from the progress of a run that its worker has reported.
+
+        Args:
+            worker: the worker.
+            entry: the run.
+            segment: its progress since the segment before.
+            slowdown: factor by which co-located tasks are known to slow it.
+            now_s: current monotonic time.
+        """
         if (
-            segment is None
-            or worker.agent is None
+            worker.agent is None
             or not entry.is_current
             or entry.step.long_running
             or remoteness.is_slowed(entry, self._workers_by_incarnation)
@@ -194,8 +205,8 @@
         observation = team.by_agent.setdefault(
             worker.agent, _Observation(at_s=now_s)
         )
-        rate = math.log(segment.percent / 100 / segment.seconds)
-        observation.add(rate, _precision(segment), now_s)
+        rate = math.log(segment.percent / 100 / segment.seconds * slowdown)
+        observation.add(rate, precision_of(segment), now_s)
 
     def on_new_incarnation(self, agent: types.Address) -> None:
         """Halves the weight of what is known of a machine.
@@ -288,7 +299,8 @@
                 )
 
 
-def _precision(segment: observed_progress.Segment) -> float:
+def precision_of(segment: observed_progress.Segment) -> float:
+    """Returns the precision of the logarithm of a segment's rate."""
     variance = (
         (PERCENT_ERROR / segment.percent) ** 2
         + (REPORT_TIME_ERROR_S / segment.seconds) ** 2
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -353,6 +353,7 @@
             **engine.evacuation.gauges(),
             **engine.lost_work.gauges(),
             **engine.speeds.gauges(),
+            **engine.interference.gauges(),
             **engine.durations.gauges(),
             **self._planner.gauges(),
             **engine.backfill.gauges(),
--- a/pimentobridge/platform/runner_status.py
+++ b/pimentobridge/platform/runner_status.py
@@ -11,6 +11,9 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.platform import http_client
 
+# The figure of a run is rough, and rounded to this many digits.
+METRIC_DIGITS = 2
+
 
 class RunnerStatus(msgspec.Struct, frozen=True):
     """A runner's response to a poll.
@@ -85,6 +88,7 @@
                 runs.RunKey(str(row[0]), decoding.integer(row[1])),
                 str(row[2]),
                 decoding.integer(row[3]),
+                _metric_in(row),
             )
             for row in body["running"]
         ),
@@ -98,3 +102,16 @@
             for row in body["finished"]
         ),
     )
+
+
+def _metric_in(row: list[Any]) -> int | None:
+    """Returns the figure in a row of `running`, rounded; None if unknown."""
+    if len(row) < 5:
+        return None
+    try:
+        value = decoding.integer(row[4])
+    except ValueError:
+        return None
+    if value < 0:
+        return None
+    return round(value, METRIC_DIGITS - len(str(value)))
--- a/pimentobridge/testing/uneven_fleet.py
+++ b/pimentobridge/testing/uneven_fleet.py
@@ -1,12 +1,14 @@
 """A fleet whose workers differ in speed, in virtual time without a network.
 
 Workers report whole percentages twice a second and nothing about their speed. A
-gang moves at the pace of its slowest member.
+gang moves at the pace of its slowest member. Tasks may be slowed by co-located
+ones, and serving tasks report the latency that results.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -20,9 +22,12 @@
 from pimentobridge.testing import engine_harness
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     import random
 
 WORKERS_PER_RACK = 5
+# Tail latency of a serving task by itself, as a share of its target.
+LATENCY_SHARE = 0.7
 TICK_S = 0.1
 TICKS_PER_REPORT = 5
 # Completion targets by priority: multiple of the work, and seconds on top.
@@ -64,12 +69,21 @@
     Args:
         speeds: speed of each worker.
         learning: whether the scheduler learns speeds and durations.
+        slowdowns: factor by which the tasks of an image are slower on a worker
+            with another task, by the image and that of the other task.
 
     Attributes:
         work_s_by_job: work of each task of a job, in seconds.
     """
 
-    def __init__(self, speeds: list[float], *, learning: bool = True) -> None:
+    def __init__(
+        self,
+        speeds: list[float],
+        *,
+        learning: bool = True,
+        slowdowns: Mapping[tuple[str, str], float] | None = None,
+    ) -> None:
+        self._slowdowns = slowdowns or {}
         self.harness = engine_harness.EngineHarness(0)
         self.harness.incarnations = [
             msgspec.structs.replace(
@@ -153,19 +167,51 @@
                 if run.done == 0 and members[unit] < step.count:
                     continue
                 speed = paces[unit]
+            speed /= self._slowdown_of(worker, key, step)
             run.done += speed * TICK_S / self.work_s_by_job[run.task.job]
-            if run.done >= 1:
+            if run.done >= 1 and not step.long_running:
                 worker.end(key, runs.EndCause.DONE)
 
     def _step_of(self, task: model.TaskName) -> model.Step:
         return self.harness.engine.jobs_by_id[task.job].job.steps[task.step]
 
+    def images_by_worker(self) -> list[list[str]]:
+        """Returns the images of the runs on each worker."""
+        return [
+            [self._step_of(run.task).image for run in runs_by_key.values()]
+            for runs_by_key in (worker.runs_by_key for worker in self.workers)
+        ]
+
+    def _slowdown_of(
+        self, worker: _Worker, key: runs.RunKey, step: model.Step
+    ) -> float:
+        if not self._slowdowns:
+            return 1.0
+        others = {
+            self._step_of(run.task).image
+            for other, run in worker.runs_by_key.items()
+            if other != key
+        }
+        return math.prod(
+            self._slowdowns.get((step.image, other), 1.0) for other in others
+        )
+
+    def _listing_of(
+        self, worker: _Worker, key: runs.RunKey, run: _Run
+    ) -> runs.RunningTask:
+        step = self._step_of(run.task)
+        metric = None
+        if step.target_ms:
+            latency_ms = step.target_ms * LATENCY_SHARE
+            metric = round(latency_ms * self._slowdown_of(worker, key, step))
+        return runs.RunningTask(key, "", int(run.done * 100), metric)
+
     def _report(self, number: int) -> None:
         worker = self.workers[number]
         orders = self.harness.observe(
             number,
             running=tuple(
-                runs.RunningTask(key, "", int(run.done * 100))
+                self._listing_of(worker, key, run)
                 for key, run in worker.runs_by_key.items()
             ),
             ended=tuple(worker.ended),
