Report the figure that a worker states for each run

Interference of serving tasks shows only in their latency, which the worker lists as an optional fifth entry of a row of running. The agent reports it to the scheduler; rows without one are encoded as before. A changed figure causes no report of its own.

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -84,15 +84,36 @@
     Attributes:
         checkpoint: its latest checkpoint; empty for none.
         percent: progress from 0 to 100.
-        metric: rough figure of the last half second: tail latency in
-            milliseconds for a task with a latency target, CPU in use in
-            millicores for others; None if unknown.
     """
 
     key: RunKey
     checkpoint: str
     percent: int
-    metric: int | None = None
+
+    @property
+    def metric(self) -> int | None:
+        """Figure that the worker reports of the run; None if unknown."""
+        return None
+
+
+class MeasuredTask(RunningTask, frozen=True, array_like=True):
+    """A run that a worker is executing, with the figure that it reports of it.
+
+    A report lists runs without a figure as `RunningTask`, which is encoded
+    without the last field, and reads both kinds as this one.
+
+    Attributes:
+        reported: rough figure of the last half second: tail latency in
+            milliseconds for a task with a latency target, CPU in use in
+            millicores for others; None if unknown.
+    """
+
+    reported: int | None = None
+
+    @property
+    def metric(self) -> int | None:
+        """Figure that the worker reports of the run; None if unknown."""
+        return self.reported
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
@@ -168,7 +189,7 @@
     """
 
     incarnation: WorkerIncarnation
-    running: tuple[RunningTask, ...] = ()
+    running: tuple[MeasuredTask, ...] = ()
     ended: tuple[EndedRun, ...] = ()
     refused: tuple[RunKey, ...] = ()
     stop_confirmed: tuple[RunKey, ...] = ()
--- a/pimentobridge/daemons/worker_view.py
+++ b/pimentobridge/daemons/worker_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import cast
 
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine
@@ -141,7 +142,8 @@
         """
         return runs.Observation(
             incarnation=incarnation,
-            running=self.running,
+            # Runs without a figure are encoded without one.
+            running=cast("tuple[runs.MeasuredTask, ...]", self.running),
             ended=self.ended,
             refused=tuple(self.refused),
             stop_confirmed=tuple(self.stop_confirmed),
--- a/pimentobridge/platform/runner_status.py
+++ b/pimentobridge/platform/runner_status.py
@@ -83,15 +83,7 @@
 def _status_of(body: dict[str, Any]) -> RunnerStatus:
     return RunnerStatus(
         clock_s=decoding.number(body["clockMs"]) / 1000,
-        running=tuple(
-            runs.RunningTask(
-                runs.RunKey(str(row[0]), decoding.integer(row[1])),
-                str(row[2]),
-                decoding.integer(row[3]),
-                _metric_in(row),
-            )
-            for row in body["running"]
-        ),
+        running=tuple(_running_task_in(row) for row in body["running"]),
         ended=tuple(
             runs.EndedRun(
                 decoding.integer(row[0]),
@@ -104,6 +96,15 @@
     )
 
 
+def _running_task_in(row: list[Any]) -> runs.RunningTask:
+    key = runs.RunKey(str(row[0]), decoding.integer(row[1]))
+    checkpoint, percent = str(row[2]), decoding.integer(row[3])
+    metric = _metric_in(row)
+    if metric is None:
+        return runs.RunningTask(key, checkpoint, percent)
+    return runs.MeasuredTask(key, checkpoint, percent, metric)
+
+
 def _metric_in(row: list[Any]) -> int | None:
     """Returns the figure in a row of `running`, rounded; None if unknown."""
     if len(row) < 5:
--- a/pimentobridge/testing/uneven_fleet.py
+++ b/pimentobridge/testing/uneven_fleet.py
@@ -204,7 +204,7 @@
         if step.target_ms:
             latency_ms = step.target_ms * LATENCY_SHARE
             metric = round(latency_ms * self._slowdown_of(worker, key, step))
-        return runs.RunningTask(key, "", int(run.done * 100), metric)
+        return runs.MeasuredTask(key, "", int(run.done * 100), metric)
 
     def _report(self, number: int) -> None:
         worker = self.workers[number]
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -254,3 +254,35 @@
     assert model.TaskName.parse(str(name)) == name
     with pytest.raises(ValueError, match="expected JOB.OCCURRENCE.STEP.TASK"):
         model.TaskName.parse("a.b")
+
+
+# Guards against a worker whose list can't be read because it has no figure of a
+# run or one of another type, and against reports that carry false precision.
+@pytest.mark.parametrize(
+    ("figures", "metric"),
+    [
+        ([], None),
+        ([None], None),
+        (["12"], None),
+        ([True], None),
+        ([-3], None),
+        ([1.5], None),
+        ([10**30], None),
+        ([0], 0),
+        ([7], 7),
+        ([95], 95),
+        ([12.0], 12),
+        ([254], 250),
+        ([3949, "more"], 3900),
+    ],
+)
+def test_the_figure_of_a_run_is_optional(
+    figures: list[object], metric: int | None
+) -> None:
+    row = ["a.0.0.0", 1, "", 5, *figures]
+    answer = http_client.Answer(200, {**RUNNER_STATUS, "running": [row]})
+    incarnation = runs.IncarnationKey(types.WorkerId("w"), 1)
+    status = runner_status.decode(answer, incarnation)
+    assert isinstance(status, runner_status.RunnerStatus)
+    (task,) = status.running
+    assert (task.percent, task.metric) == (5, metric)
