Throttle tasks that use spare CPU while a serving task is over its target

Tasks that use spare CPU slow serving tasks on their worker, and nothing held them back. The scheduler now orders a share of their work of 50, 20, then 0 percent while a serving task there is over its target, and raises it step by step; the agent passes changes on as pace calls, repeated until answered. Throttled runs don't count as stalled, and their progress isn't learned from. Figures are rounded up to three digits, as a latency just over its target counted as within it with two.

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -143,6 +143,17 @@
     ticket: str = ""
 
 
+class PaceOrder(msgspec.Struct, frozen=True, array_like=True):
+    """An order to limit the work of a run.
+
+    Attributes:
+        percent: share of its work that it may do, from 0 to 100.
+    """
+
+    key: RunKey
+    percent: int
+
+
 class Instructions(msgspec.Struct, frozen=True, array_like=True):
     """Complete set of current orders for one incarnation of a worker.
 
@@ -151,12 +162,14 @@
             store, and the worker may discard them.
         starts: runs that should be running.
         stops: runs that must not be running.
+        paces: what running tasks that use spare CPU may do.
     """
 
     incarnation: IncarnationKey
     acknowledged_end: int = 0
     starts: tuple[StartOrder, ...] = ()
     stops: tuple[RunKey, ...] = ()
+    paces: tuple[PaceOrder, ...] = ()
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -28,6 +28,7 @@
 from pimentobridge.core.scheduling import pass_requests
 from pimentobridge.core.scheduling import run_ends
 from pimentobridge.core.scheduling import speeds as speeds_lib
+from pimentobridge.core.scheduling import throttling as throttling_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -74,6 +75,7 @@
         durations: expected run times of tasks.
         speeds: speeds of the workers.
         interference: slowdowns of tasks by co-located ones.
+        throttling: throttles tasks that use spare CPU.
     """
 
     def __init__(
@@ -122,6 +124,9 @@
         self.interference = interference_lib.Interference(
             self.workers_by_incarnation, log
         )
+        self.throttling = throttling_lib.Throttling(
+            self.workers_by_incarnation, log
+        )
         self.backfill = backfill_lib.Backfill(log)
         self.evacuations = data_centre_evacuation.Evacuations(
             clock=clock, log=log
@@ -307,6 +312,9 @@
                 worker.processed_end = end.number
                 self._on_end(worker, end)
         self._update_running(worker, observation)
+        self.throttling.on_report(
+            worker, observation.running, self._clock.monotonic()
+        )
         for refused in observation.refused:
             self._on_refusal(worker, refused)
         self._release_unlisted(worker, observation.refused, "start refused")
@@ -443,7 +451,7 @@
     ) -> None:
         now_s = self._clock.monotonic()
         segment = entry.observed.take_segment()
-        if segment is not None:
+        if segment is not None and entry.throttled_s is None:
             slowdown = self.interference.slowdown_of(worker, entry)
             self.speeds.on_progress(worker, entry, segment, slowdown, now_s)
         self.interference.on_running(
@@ -497,6 +505,8 @@
         )
 
     def _learn_duration(self, entry: ledger.RunEntry) -> None:
+        if entry.throttled_s is not None:
+            return
         speed = self.speeds.speed_of_run(entry)
         if speed is not None:
             self.durations.on_done(
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -9,6 +9,7 @@
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import health as health_lib
+from pimentobridge.core.scheduling import throttling
 
 if TYPE_CHECKING:
     from pimentobridge.core import types
@@ -45,6 +46,7 @@
         acknowledged_end: number up to which all ends are recorded; it is sent
             to the worker as an acknowledgement.
         used: resources reserved by tracked and untracked runs.
+        throttle: what its tasks that use spare CPU may do.
         runs_by_kind: number of tracked runs of each kind.
         reachable: whether its agent could connect to it lately.
         agent_state: what its agent said last of itself.
@@ -70,6 +72,9 @@
     )
     acknowledged_end: int = 0
     used: model.Resources = model.NO_RESOURCES
+    throttle: throttling.Throttle = dataclasses.field(
+        default_factory=throttling.Throttle
+    )
     runs_by_kind: collections.Counter[kinds.Kind] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/pimentobridge/core/scheduling/interference.py
+++ b/pimentobridge/core/scheduling/interference.py
@@ -23,6 +23,7 @@
 from pimentobridge.core.scheduling import kinds
 from pimentobridge.core.scheduling import remoteness
 from pimentobridge.core.scheduling import speeds
+from pimentobridge.core.scheduling import throttling
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -193,8 +194,10 @@
             return
         step = entry.step
         if step.target_ms > 0:
-            if metric is not None and (
-                now_s - entry.neighbours_since_s >= LATENCY_WINDOW_S
+            if (
+                metric is not None
+                and worker.throttle.percent == throttling.FULL_PERCENT
+                and now_s - entry.neighbours_since_s >= LATENCY_WINDOW_S
             ):
                 excess = math.log(max(1.0, metric / step.target_ms))
                 slowness = min(excess, math.log(MAX_SLOWDOWN))
--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -106,6 +106,8 @@
         neighbours: kinds of the other tasks on its worker at the last report;
             None before the first.
         neighbours_since_s: monotonic time from which they were the same.
+        throttled_s: monotonic time at which it was last known to be throttled;
+            None if it never was.
     """
 
     tracked: TrackedJob
@@ -123,6 +125,7 @@
     backfilled_for: types.JobId | None = None
     neighbours: frozenset[kinds.Kind] | None = None
     neighbours_since_s: float = 0.0
+    throttled_s: float | None = None
 
     @property
     def key(self) -> runs.RunKey:
--- a/pimentobridge/core/scheduling/orders.py
+++ b/pimentobridge/core/scheduling/orders.py
@@ -30,6 +30,7 @@
     worker.acknowledge_ends()
     starts: list[runs.StartOrder] = []
     stops: list[runs.RunKey] = []
+    paces: list[runs.PaceOrder] = []
     for key, entry in worker.entries_by_key.items():
         unit = entry.unit
         if unit.status is progress_lib.UnitStatus.DONE:
@@ -42,13 +43,20 @@
             spec = entry.tracked.job.spec
             ticket = unit.placements[entry.member].ticket
             starts.append(runs.StartOrder(key, spec, unit.checkpoint, ticket))
+        elif key in worker.running_keys and entry.step.uses_spare_cpu:
+            # Also at 100 percent: an earlier scheduler may have ordered less.
+            paces.append(runs.PaceOrder(key, worker.throttle.percent))
     stops.extend(
         key
         for key in worker.untracked_by_key
         if not _belongs_to_done_unit(key, jobs_by_id)
     )
     return runs.Instructions(
-        worker.key, worker.acknowledged_end, tuple(starts), tuple(stops)
+        worker.key,
+        worker.acknowledged_end,
+        tuple(starts),
+        tuple(stops),
+        tuple(paces),
     )
 
 
--- a/pimentobridge/core/scheduling/stalls.py
+++ b/pimentobridge/core/scheduling/stalls.py
@@ -62,6 +62,8 @@
             # A gang member at 100 % may wait for the other members.
             return
         stalled_s = now_s - entry.observed.progressed_s
+        if entry.throttled_s is not None:
+            stalled_s = min(stalled_s, now_s - entry.throttled_s)
         if stalled_s <= max_stall_s(entry):
             return
         entry.stop_requested = True
--- a/pimentobridge/daemons/run_orders.py
+++ b/pimentobridge/daemons/run_orders.py
@@ -22,6 +22,10 @@
     from pimentobridge.daemons import worker_view
 
 ORDER_RETRY_PAUSE_S = 0.1
+# Share of its work that a run may do from its start on.
+START_PERCENT = 100
+# Stands for a share that isn't known, as an order wasn't answered.
+UNKNOWN_PERCENT = -1
 
 
 class Agent(Protocol):
@@ -84,6 +88,7 @@
         self._clock = clock
         self._started_runs = started
         self._late_starts = late_starts.LateStarts()
+        self._paces_by_run: dict[runs.RunKey, runs.PaceOrder] = {}
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -102,6 +107,10 @@
         for key in instructions.stops:
             if key not in self._agent.view.stop_confirmed:
                 self._spawn_order("stop", key, self._stop_run, key)
+        self._paces_by_run = {order.key: order for order in instructions.paces}
+        for key in self._paces_by_run:
+            if self._pace_to_order(key) is not None:
+                self._spawn_order("pace", key, self._set_pace, key)
 
     def _spawn_order(
         self,
@@ -232,6 +241,52 @@
         )
         return outcome
 
+    def _pace_to_order(self, key: runs.RunKey) -> runs.PaceOrder | None:
+        """Returns the newest order for a run's pace, unless it has that pace.
+
+        The pace of a run that an agent before this one has started isn't known.
+        """
+        order = self._paces_by_run.get(key)
+        started = key in self._started_runs.started
+        percent = self._agent.view.percent_by_run.get(
+            key, START_PERCENT if started else None
+        )
+        return order if order and order.percent != percent else None
+
+    async def _set_pace(self, key: runs.RunKey) -> None:
+        if self._agent.worker is None:
+            return
+        incarnation = self._agent.worker.key
+        while self._agent.is_current(incarnation) and self._agent.may_act():
+            order = self._pace_to_order(key)
+            if order is None:
+                return
+            token = self._agent.token
+            outcome = await self._runner.pace(incarnation, order, token=token)
+            logs.event(
+                "pace ordered",
+                task=key.task,
+                run=key.run,
+                percent=order.percent,
+                worker=incarnation.worker,
+                token=token,
+                outcome=outcome.value,
+            )
+            if not self._agent.is_current(incarnation):
+                return
+            percent_by_run = self._agent.view.percent_by_run
+            if outcome in (
+                runner_lib.PaceResult.SET,
+                runner_lib.PaceResult.REJECTED,
+            ):
+                percent_by_run[key] = order.percent
+            elif outcome is runner_lib.PaceResult.UNKNOWN:
+                # It may have taken effect or may still do so.
+                percent_by_run[key] = UNKNOWN_PERCENT
+                await trio.sleep(ORDER_RETRY_PAUSE_S)
+            else:
+                return
+
     def start_refusing_late_starts(
         self, incarnation: runs.IncarnationKey
     ) -> None:
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -354,6 +354,7 @@
             **engine.lost_work.gauges(),
             **engine.speeds.gauges(),
             **engine.interference.gauges(),
+            **engine.throttling.gauges(),
             **engine.durations.gauges(),
             **self._planner.gauges(),
             **engine.backfill.gauges(),
--- a/pimentobridge/daemons/worker_view.py
+++ b/pimentobridge/daemons/worker_view.py
@@ -33,6 +33,8 @@
         acknowledged_end: number up to which the scheduler has acknowledged the
             ends of runs.
         has_polled: whether it has answered a poll.
+        percent_by_run: share of their work that runs may do, as the worker has
+            answered to orders.
         expected_ends: when its runs are expected to end.
         contact: whether it can be reached.
     """
@@ -45,6 +47,7 @@
         self.may_start_late: set[runs.RunKey] = set()
         self.stop_confirmed: set[runs.RunKey] = set()
         self.orders_in_progress: set[tuple[str, runs.RunKey]] = set()
+        self.percent_by_run: dict[runs.RunKey, int] = {}
         self.acknowledged_end = 0
         self.has_polled = False
         self.expected_ends = expected_ends.ExpectedEnds()
@@ -123,6 +126,12 @@
             != {task.key for task in self.running}
         )
         self.running, self.ended = status.running, ended
+        listed = {task.key for task in status.running}
+        self.percent_by_run = {
+            key: percent
+            for key, percent in self.percent_by_run.items()
+            if key in listed
+        }
         self.expected_ends.on_running(status.running, now_s)
         return regained or changed
 
--- a/pimentobridge/platform/runner.py
+++ b/pimentobridge/platform/runner.py
@@ -70,6 +70,20 @@
     UNKNOWN = "unknown"
 
 
+class PaceResult(enum.Enum):
+    """Outcome of an order to limit the work of a run.
+
+    `REJECTED`: the runner has answered that it doesn't do this, as for a run
+    that has ended. `UNKNOWN`: the response is missing or unexpected.
+    """
+
+    SET = "set"
+    REJECTED = "rejected"
+    OUTDATED_TOKEN = "outdated-token"
+    WRONG_INCARNATION = "other-life"
+    UNKNOWN = "unknown"
+
+
 # Values of `reason` in a 409 response to a start. `late` means that the lease
 # end in the order, `deadlineMs`, is too early.
 _START_RESULT_BY_REASON = {
@@ -96,6 +110,22 @@
     runner_status.PollFailure.UNKNOWN: StopResult.UNKNOWN,
     runner_status.PollFailure.TIMED_OUT: StopResult.UNKNOWN,
 }
+_PACE_RESULT_BY_FAILURE = {
+    runner_status.PollFailure.OUTDATED_TOKEN: PaceResult.OUTDATED_TOKEN,
+    runner_status.PollFailure.WRONG_INCARNATION: PaceResult.WRONG_INCARNATION,
+    runner_status.PollFailure.REFUSED: PaceResult.UNKNOWN,
+    runner_status.PollFailure.UNREACHABLE: PaceResult.UNKNOWN,
+    runner_status.PollFailure.UNKNOWN: PaceResult.UNKNOWN,
+    runner_status.PollFailure.TIMED_OUT: PaceResult.UNKNOWN,
+}
+_PACE_RESULT_BY_STATUS = {
+    200: PaceResult.SET,
+    400: PaceResult.REJECTED,
+    404: PaceResult.REJECTED,
+    405: PaceResult.REJECTED,
+    409: PaceResult.OUTDATED_TOKEN,
+    421: PaceResult.WRONG_INCARNATION,
+}
 
 _POLL_PATH = "/v1/hold"
 
@@ -189,6 +219,33 @@
             return StopResult.OUTDATED_TOKEN
         return StopResult.UNKNOWN
 
+    async def pace(
+        self,
+        incarnation: runs.IncarnationKey,
+        order: runs.PaceOrder,
+        *,
+        token: int,
+    ) -> PaceResult:
+        """Orders a limit on the work of a run.
+
+        Args:
+            incarnation: the one that the order is for.
+            order: the run and the share of its work that it may do.
+            token: the scheduler's fencing token.
+        """
+        body = {
+            "task": order.key.task,
+            "run": order.key.run,
+            "percent": order.percent,
+            "fencingToken": token,
+        }
+        answer = await self._call(incarnation, "/v1/pace", body, token=token)
+        if isinstance(answer, runner_status.PollFailure):
+            return _PACE_RESULT_BY_FAILURE[answer]
+        if isinstance(answer, http_client.Failure):
+            return PaceResult.UNKNOWN
+        return _PACE_RESULT_BY_STATUS.get(answer.status, PaceResult.UNKNOWN)
+
     async def poll(
         self,
         incarnation: runs.IncarnationKey,
--- a/pimentobridge/platform/runner_status.py
+++ b/pimentobridge/platform/runner_status.py
@@ -11,8 +11,9 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.platform import http_client
 
-# The figure of a run is rough, and rounded to this many digits.
-METRIC_DIGITS = 2
+# The figure of a run is rough, and rounded up to this many digits. Rounded
+# down, a latency just over its target would count as within it.
+METRIC_DIGITS = 3
 
 
 class RunnerStatus(msgspec.Struct, frozen=True):
@@ -115,4 +116,5 @@
         return None
     if value < 0:
         return None
-    return round(value, METRIC_DIGITS - len(str(value)))
+    unit: int = 10 ** max(0, len(str(value)) - METRIC_DIGITS)
+    return -(-value // unit) * unit
--- a/pimentobridge/testing/platform_runner.py
+++ b/pimentobridge/testing/platform_runner.py
@@ -29,6 +29,12 @@
 RESTORE_DURATION_S = 0.25
 # Time from the start of a deadly task to the crash of its runner.
 DEADLY_AFTER_S = 0.4
+# Time from a pace call until it takes effect.
+PACE_DELAY_S = 0.1
+# Tail latency of a serving task relative to its target: by itself, and beside
+# tasks that use spare CPU and do more than a share of their work.
+LATENCY_ALONE = 0.5
+LATENCY_DISTURBED = 2.0
 
 
 class TaskSpec:
@@ -41,6 +47,8 @@
         failing_runs: how many of its first runs fail.
         checkpointing: whether it writes checkpoints.
         advised: whether a start needs a ticket of the policy service.
+        target_ms: target of a serving task; 0 for others.
+        fills: whether it uses spare CPU.
     """
 
     def __init__(self, text: str) -> None:
@@ -51,6 +59,8 @@
         self.failing_runs = int(fields.get("failing_runs", 0))
         self.checkpointing = bool(fields.get("checkpointing", False))
         self.advised = bool(fields.get("advised", False))
+        self.target_ms = int(fields.get("target_ms", 0))
+        self.fills = bool(fields.get("fills", False))
 
 
 @dataclasses.dataclass
@@ -67,6 +77,8 @@
             other members of its gang.
         stops_at_s: monotonic time at which a requested stop takes effect; None
             if no stop was requested.
+        percent: share of its work that it may do.
+        paced: a later share and the monotonic time from which it applies.
     """
 
     task: str
@@ -77,6 +89,8 @@
     restored_work_s: float
     working_since_s: float | None = None
     stops_at_s: float | None = None
+    percent: int = 100
+    paced: tuple[int, float] | None = None
 
     def completed_work_s(self, now_s: float) -> float:
         """Returns the work completed by this and earlier runs, in seconds."""
@@ -209,6 +223,12 @@
         times_without_lease_s: monotonic times, in seconds, at which `advance`
             found the lease expired.
         runs_by_task: current runs by the name of their task.
+        harmless_percent: share of their work up to which tasks that use spare
+            CPU don't disturb serving tasks.
+        over_since_s: monotonic time since which a serving task has been over
+            its target; None if none is.
+        longest_excess_s: longest such time so far.
+        pace_calls: percent and fencing token of each pace call.
     """
 
     def __init__(
@@ -239,6 +259,10 @@
         self.hanging = False
         self.refused_share = 0.0
         self._advanced_s = pool.clock()
+        self.harmless_percent = 100
+        self.over_since_s: float | None = None
+        self.longest_excess_s = 0.0
+        self.pace_calls: list[tuple[int, int]] = []
         self.times_without_lease_s: list[float] = []
         self.runs_by_task: dict[str, Run] = {}
         self._highest_closed_run_by_task: dict[str, int] = {}
@@ -317,6 +341,8 @@
             return self._start(body)
         if path == "/v1/run-stop":
             return self._stop(body["task"], int(body["run"]))
+        if path == "/v1/pace":
+            return self._pace(body)
         if path == "/v1/hold":
             return await self._hold(body)
         return self._answer(404)
@@ -390,6 +416,51 @@
             run.stops_at_s = self._pool.clock() + self._pool.stop_s
         return self._answer(200)
 
+    def _pace(self, body: dict[str, Any]) -> http_client.Answer:
+        run = self.runs_by_task.get(str(body["task"]))
+        if run is None or run.number != int(body["run"]):
+            return self._answer(404)
+        percent = int(body["percent"])
+        self.pace_calls.append((percent, int(body["fencingToken"])))
+        run.paced = percent, self._pool.clock() + PACE_DELAY_S
+        return self._answer(200)
+
+    def _latency_ms(self, run: Run) -> int:
+        disturbed = any(
+            other.spec.fills and other.percent > self.harmless_percent
+            for other in self.runs_by_task.values()
+        )
+        share = LATENCY_DISTURBED if disturbed else LATENCY_ALONE
+        return round(run.spec.target_ms * share)
+
+    def _figures(self, run: Run) -> list[int]:
+        if run.spec.target_ms:
+            return [self._latency_ms(run)]
+        if run.spec.fills:
+            return [run.spec.request.cpu_millicores * run.percent // 100]
+        return []
+
+    def _apply_paces(self, now_s: float) -> None:
+        for run in self.runs_by_task.values():
+            if run.working_since_s is not None:
+                idle_share = 1 - run.percent / 100
+                run.working_since_s += idle_share * (now_s - self._advanced_s)
+            if run.paced is not None and now_s >= run.paced[1]:
+                run.percent = run.paced[0]
+                run.paced = None
+        over = any(
+            run.spec.target_ms and self._latency_ms(run) > run.spec.target_ms
+            for run in self.runs_by_task.values()
+        )
+        if not over:
+            self.over_since_s = None
+            return
+        if self.over_since_s is None:
+            self.over_since_s = now_s
+        self.longest_excess_s = max(
+            self.longest_excess_s, now_s - self.over_since_s
+        )
+
     async def _hold(self, body: dict[str, Any]) -> http_client.Answer:
         self._extend_lease(body)
         self._acknowledge_ends(int(body.get("lastSeen", 0)))
@@ -409,6 +480,7 @@
                         * run.completed_work_s(now_s)
                         / max(0.001, run.spec.seconds)
                     ),
+                    *self._figures(run),
                 ]
                 for run in self.runs_by_task.values()
             ],
@@ -433,6 +505,8 @@
             for run in self.runs_by_task.values():
                 if run.working_since_s is not None:
                     run.working_since_s += now_s - self._advanced_s
+        else:
+            self._apply_paces(now_s)
         self._advanced_s = now_s
         if any(
             self._pool.is_deadly(run.task)
