Let completion targets come before the separation of images

With its own steps only, the preference put urgent work on a slow worker, late, to spare an image on a fast one. Workers on which the work would be late, by speed or by its neighbours, now come last.

--- a/pimentobridge/core/scheduling/interference.py
+++ b/pimentobridge/core/scheduling/interference.py
@@ -1,4 +1,4 @@
-"""Learns which tasks slow each other down on one worker, and separates them.
+"""Learns which tasks slow each other down on one worker.
 
 Tasks contend for more than the resources that they request. For each ordered
 pair of kinds of tasks (the slowed one, the co-located one) the slowdown is the
@@ -19,6 +19,7 @@
 import dataclasses
 import math
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from pimentobridge.core.scheduling import kinds
 from pimentobridge.core.scheduling import remoteness
@@ -76,6 +77,21 @@
 _StepKey = tuple[str, int, int]
 
 
+class Effect(NamedTuple):
+    """How a unit and the runs on a worker would interfere.
+
+    Attributes:
+        slowdown: factor by which the runs would slow the unit.
+        steps: coarse measure of the slowdowns in both directions.
+    """
+
+    slowdown: float
+    steps: int
+
+
+NO_EFFECT = Effect(1.0, 0)
+
+
 @dataclasses.dataclass
 class _Observation:
     """Slowness of a step's tasks on a worker beside the same kinds.
@@ -136,7 +152,7 @@
 
 
 class Interference:
-    """Slowdowns between kinds of tasks, and the preference that follows.
+    """Slowdowns between kinds of tasks.
 
     Args:
         workers_by_incarnation: the workers, to tell which runs are slow for
@@ -157,9 +173,12 @@
         # Estimates, as logarithms.
         self._slowdowns: dict[Pair, float] = {}
         self._slowness_by_agent: dict[types.Address, float] = {}
-        # The estimates that are certain enough, and the kinds in them.
+        # The estimates that are certain enough; and for each kind and neighbour
+        # that of the kind beside it, and the sum of those in both directions.
         self._known: dict[Pair, float] = {}
-        self._known_kinds: frozenset[kinds.Kind] = frozenset()
+        self._effects_by_kind: dict[
+            kinds.Kind, dict[kinds.Kind, tuple[float, float]]
+        ] = {}
         self._logged: dict[Pair, float] = {}
         self._updated_s = float("-inf")
         self._placements = 0
@@ -273,16 +292,26 @@
                 step.own = 0.0 if step.serving else self._own_slowness(step)
         for _ in range(SWEEPS):
             self._sweep(rows_by_pair)
-        self._known = {
-            pair: slowdown
-            for pair, slowdown in self._slowdowns.items()
-            if _is_known(slowdown, rows_by_pair[pair])
-        }
-        self._known_kinds = frozenset(
-            kind for pair in self._known for kind in pair
+        self._use(
+            {
+                pair: slowdown
+                for pair, slowdown in self._slowdowns.items()
+                if _is_known(slowdown, rows_by_pair[pair])
+            }
         )
         self._log_changes()
 
+    def _use(self, known: dict[Pair, float]) -> None:
+        """Replaces the slowdowns that are certain enough."""
+        self._known = known
+        self._effects_by_kind = {}
+        for slowed, beside in known:
+            for kind, neighbour in ((slowed, beside), (beside, slowed)):
+                own = known.get((kind, neighbour), 0.0)
+                both = own + known.get((neighbour, kind), 0.0)
+                effects = self._effects_by_kind.setdefault(kind, {})
+                effects[neighbour] = own, both
+
     def _drop_old(self, now_s: float) -> None:
         for key, step in list(self._steps_by_key.items()):
             for place, observation in list(step.by_place.items()):
@@ -394,7 +423,7 @@
             entry: the run.
         """
         kind = entry.kind
-        if kind not in self._known_kinds:
+        if kind not in self._effects_by_kind:
             return 1.0
         return math.exp(
             sum(
@@ -403,27 +432,37 @@
             )
         )
 
-    def cost(
+    def concerns(self, demand: placement.Demand) -> bool:
+        """Returns whether any slowdown by or of a unit's kind is known."""
+        return demand.kind in self._effects_by_kind
+
+    def effect(
         self, worker: fleet.TrackedWorker, demand: placement.Demand
-    ) -> float:
-        """Returns the cost of a placement, see `preferences`.
+    ) -> Effect:
+        """Returns how a unit and the runs on a worker would interfere.
 
-        It counts the slowdowns of the unit by the kinds on the worker, and of
-        those by the unit.
+        Args:
+            worker: the worker.
+            demand: requirements of the unit.
         """
-        kind = demand.kind
-        if kind is None or kind not in self._known_kinds:
-            return 0.0
-        total = sum(
-            self._known.get((kind, neighbour), 0.0)
-            + self._known.get((neighbour, kind), 0.0)
-            for neighbour in worker.runs_by_kind
+        neighbours = (
+            self._effects_by_kind.get(demand.kind) if demand.kind else None
         )
-        return round(total / math.log(STEP_FACTOR))
-
-    def on_placed(self, cost: float) -> None:
-        """Counts a placed unit by what its placement costs."""
-        self._placements += cost > 0
+        if not neighbours:
+            return NO_EFFECT
+        runs_by_kind = worker.runs_by_kind
+        own = total = 0.0
+        for neighbour, (slowed, both) in neighbours.items():
+            if neighbour in runs_by_kind:
+                own += slowed
+                total += both
+        if not total:
+            return NO_EFFECT
+        return Effect(math.exp(own), round(total / math.log(STEP_FACTOR)))
+
+    def on_placed(self, steps: int) -> None:
+        """Counts a placed unit, by how much it interferes there."""
+        self._placements += steps > 0
 
     def gauges(self) -> dict[str, float]:
         """Returns the gauges by metric name."""
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -25,6 +25,7 @@
 from pimentobridge.core.scheduling import preemption
 from pimentobridge.core.scheduling import preferences
 from pimentobridge.core.scheduling import ranking
+from pimentobridge.core.scheduling import separation
 from pimentobridge.core.scheduling import shares as shares_lib
 
 if TYPE_CHECKING:
@@ -107,7 +108,7 @@
         # In the order of their importance, see `preferences`.
         self._preferences: tuple[preferences.Preference, ...] = (
             engine.departures,
-            engine.interference,
+            separation.Separation(engine.interference, self._pace),
             self._pace,
         )
         # Jobs with units that didn't fit in the current pass.
@@ -389,7 +390,8 @@
         workers = [engine.workers_by_incarnation[key] for key in set(assigned)]
         expected_s = self._pace.expected_on(workers, demand)
         interference = max(
-            engine.interference.cost(worker, demand) for worker in workers
+            engine.interference.effect(worker, demand).steps
+            for worker in workers
         )
         engine.interference.on_placed(interference)
         started = []
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 import pytest
 
@@ -100,10 +102,7 @@
     """Has an engine know some slowdowns, as logarithms, and learn no others."""
     part = harness.engine.interference
     part.update = lambda _: None  # type: ignore[method-assign]
-    part._known = slowdown_by_pair
-    part._known_kinds = frozenset(
-        kind for pair in slowdown_by_pair for kind in pair
-    )
+    part._use(slowdown_by_pair)
 
 
 def _images_by_worker(
@@ -155,6 +154,36 @@
     assert sum(key.task.startswith(urgent.id) for _, key in started) == 4
 
 
+# Guards against separation that makes work late: the fast worker has a scan,
+# which it slows a little, and on the slow one it misses its completion target.
+# Beside an image that slows it beyond the target, it takes the slow worker.
+@pytest.mark.parametrize(
+    ("pair", "worker"), [((SCAN, CACHE), 0), ((CACHE, SCAN), 1)]
+)
+def test_a_completion_target_comes_before_separation(
+    pair: interference_lib.Pair, worker: int
+) -> None:
+    harness = engine_harness.EngineHarness(1)
+    harness.submit(_job(1, "scan", tasks=1))
+    harness.incarnations.append(harness.incarnation(1))
+    harness.observe_all()
+    _known(harness, {pair: math.log(4.0)})
+    harness.engine.speeds.speed_of = (  # type: ignore[method-assign]
+        lambda agent: 1.6 if agent == "agent-0" else 0.6
+    )
+    urgent = _job(2, "cache", tasks=1, priority=0)
+    queue = msgspec.structs.replace(urgent.queue, stretch=1.5, objective_s=0.6)
+    urgent = msgspec.structs.replace(urgent, queue=queue)
+    if worker == 1:
+        # In time on the slow worker, and not on the fast one beside a scan.
+        queue = msgspec.structs.replace(queue, stretch=2.0)
+        urgent = msgspec.structs.replace(urgent, queue=queue)
+    started = engine_harness.started(harness.submit(urgent))
+    assert [
+        number for number, key in started if key.task.startswith(urgent.id)
+    ] == [worker]
+
+
 # Guards against a change for fleets on which nothing has been learned.
 def test_nothing_changes_where_nothing_is_learned(
     monkeypatch: pytest.MonkeyPatch,
