--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -137,6 +137,11 @@
         """The step that the task belongs to."""
         return self.tracked.step_of(self.name.step)
 
+    @property
+    def is_recorded(self) -> bool:
+        """Whether an earlier scheduler has placed the run."""
+        return self.ordered_at_change == 0
+
     @property
     def kind(self) -> kinds.Kind:
         """The kind of the task."""
--- a/pimentobridge/core/scheduling/orders.py
+++ b/pimentobridge/core/scheduling/orders.py
@@ -43,7 +43,11 @@
             spec = entry.tracked.job.spec
             ticket = unit.placements[entry.member].ticket
             starts.append(runs.StartOrder(key, spec, unit.checkpoint, ticket))
-        elif key in worker.running_keys and entry.step.uses_spare_cpu:
+        elif (
+            key in worker.running_keys
+            and entry.step.uses_spare_cpu
+            and worker.throttle.known
+        ):
             # Also at 100 percent: an earlier scheduler may have ordered less.
             paces.append(runs.PaceOrder(key, worker.throttle.percent))
     stops.extend(
--- a/pimentobridge/core/scheduling/throttling.py
+++ b/pimentobridge/core/scheduling/throttling.py
@@ -38,9 +38,12 @@
 
     Attributes:
         percent: share of their work, from 0 to 100.
+        known: whether it is that; False while an earlier scheduler may have
+            ordered another one. Nothing is ordered then.
     """
 
     percent: int = FULL_PERCENT
+    known: bool = True
     _changed_s: float = float("-inf")
     _over_since_s: float | None = None
     _within_since_s: float | None = None
@@ -59,13 +62,19 @@
         else:
             self._on_within(now_s)
 
+    @property
+    def is_new(self) -> bool:
+        """Whether it has never been updated."""
+        return self._over_since_s is None and self._within_since_s is None
+
     def _on_over(self, now_s: float) -> None:
         self._within_since_s = None
         if self._over_since_s is None:
             self._over_since_s = now_s
         if self.percent == LEVELS[-1]:
             return
-        if now_s - self._over_since_s >= MAX_EXCESS_S:
+        if not self.known or now_s - self._over_since_s >= MAX_EXCESS_S:
+            # A first step could raise a share that isn't known.
             self._set(LEVELS[-1], now_s)
         elif now_s - self._changed_s >= STEP_INTERVAL_S:
             self._set(LEVELS[LEVELS.index(self.percent) + 1], now_s)
@@ -79,6 +88,7 @@
             self._within_since_s = now_s
         if now_s - max(self._within_since_s, self._changed_s) < self._hold_s:
             return
+        self.known = True
         if self.percent == FULL_PERCENT:
             self._raised = False
             self._hold_s = FIRST_HOLD_S
@@ -88,6 +98,7 @@
 
     def _set(self, percent: int, now_s: float) -> None:
         self.percent = percent
+        self.known = True
         self._changed_s = now_s
 
 
@@ -132,12 +143,16 @@
             if worker.throttle.percent != FULL_PERCENT:
                 worker.throttle = Throttle()
             return
+        if worker.throttle.is_new and any(
+            entry.is_recorded for entry in throttled
+        ):
+            worker.throttle.known = False
         over = _is_over(worker, running)
         before = worker.throttle.percent
         if over is not None:
             worker.throttle.update(over=over, now_s=now_s)
         after = worker.throttle.percent
-        if after < FULL_PERCENT:
+        if after < FULL_PERCENT or not worker.throttle.known:
             for entry in throttled:
                 entry.throttled_s = now_s
         if after == before:
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -157,6 +157,34 @@
     assert percents[-1] == 100
 
 
+def _taken_over() -> tuple[
+    engine_harness.EngineHarness, dict[str, runs.RunKey]
+]:
+    """Returns the worker of `_fleet` with a new scheduler."""
+    harness, keys = _fleet()
+    _report(harness, keys, 200)
+    jobs = list(harness.engine.jobs_by_id.values())
+    harness.engine = harness.new_engine()
+    for tracked in jobs:
+        harness.engine.put_job(tracked.job, tracked.progress)
+    return harness, keys
+
+
+# Guards against harm that goes on for 4.5 s across a change of scheduler: the
+# new one raised the share first, or took a first step above the actual share.
+def test_a_new_scheduler_stops_what_disturbs_at_once() -> None:
+    harness, keys = _taken_over()
+    assert _report(harness, keys, 200) == {"c": 0}
+
+
+# Guards against a share that an earlier scheduler has set and that stays.
+def test_a_new_scheduler_raises_the_share_while_the_target_holds() -> None:
+    harness, keys = _taken_over()
+    reports = [_report(harness, keys, 60) for _ in range(8)]
+    assert reports[0] == {}
+    assert reports[-1] == {"c": 100}
+
+
 # Guards against a run that is stopped as hung, and its worker ejected, because
 # the scheduler itself lets it do nothing.
 def test_a_throttled_run_does_not_count_as_stalled() -> None:
