--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -98,9 +98,9 @@
 
 
 # Guards against learning chance: on workers of unequal speed, with demands that
-# come and go, about one pair at a time, and up to 4, counted as interfering while
-# the errors of the workers' speeds and of neighbours that come together were left
-# out. The mean must be below a quarter.
+# come and go, about one pair at a time, and up to 4, counted as interfering
+# while the errors of the workers' speeds and of neighbours that come together
+# were left out. The mean must be below a quarter.
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_little_is_learned_from_chance(seed: int) -> None:
     rng = random.Random(seed)
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -185,6 +185,31 @@
     assert reports[-1] == {"c": 100}
 
 
+# Guards against tasks that are placed where they may do nothing while another
+# worker has room, and against waiting where none has.
+@pytest.mark.parametrize("workers", [1, 2])
+def test_spare_cpu_is_used_on_workers_that_are_not_throttled(
+    workers: int,
+) -> None:
+    harness, keys = _fleet()
+    for _ in range(5):
+        _report(harness, keys, 200)
+    if workers == 2:
+        harness.incarnations.append(harness.incarnation(1))
+        harness.observe(1)
+    step = model.Step(1, engine_harness.GPU, 60.0, uses_spare_cpu=True)
+    job = engine_harness.job("d" * 16, step, priority=2)
+    harness.engine.put_job(job)
+    harness.plan()
+    (placed,) = [
+        worker.key.worker
+        for worker in harness.engine.workers_by_incarnation.values()
+        for entry in worker.entries_by_key.values()
+        if entry.tracked.id == job.id
+    ]
+    assert placed == f"w{workers - 1}"
+
+
 # Guards against a run that is stopped as hung, and its worker ejected, because
 # the scheduler itself lets it do nothing.
 def test_a_throttled_run_does_not_count_as_stalled() -> None:
