--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -90,6 +90,31 @@
     checkpoint: str
     percent: int
 
+    @property
+    def metric(self) -> int | None:
+        """Figure that the worker reports of the run; None if unknown."""
+        return None
+
+
+class MeasuredTask(RunningTask, frozen=True, array_like=True):
+    """A run that a worker is executing, with the figure that it reports of it.
+
+    A report lists runs without a figure as `RunningTask`, which is encoded
+    without the last field, and reads both kinds as this one.
+
+    Attributes:
+        reported: rough figure of the last half second: tail latency in
+            milliseconds for a task with a latency target, CPU in use in
+            millicores for others; None if unknown.
+    """
+
+    reported: int | None = None
+
+    @property
+    def metric(self) -> int | None:
+        """Figure that the worker reports of the run; None if unknown."""
+        return self.reported
+
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
     """A run that has ended.
@@ -118,6 +143,17 @@
     ticket: str = ""
 
 
+class PaceOrder(msgspec.Struct, frozen=True, array_like=True):
+    """An order to limit the work of a run.
+
+    Attributes:
+        percent: share of its work that it may do, from 0 to 100.
+    """
+
+    key: RunKey
+    percent: int
+
+
 class Instructions(msgspec.Struct, frozen=True, array_like=True):
     """Complete set of current orders for one incarnation of a worker.
 
@@ -126,12 +162,14 @@
             store, and the worker may discard them.
         starts: runs that should be running.
         stops: runs that must not be running.
+        paces: what running tasks that use spare CPU may do.
     """
 
     incarnation: IncarnationKey
     acknowledged_end: int = 0
     starts: tuple[StartOrder, ...] = ()
     stops: tuple[RunKey, ...] = ()
+    paces: tuple[PaceOrder, ...] = ()
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -164,7 +202,7 @@
     """
 
     incarnation: WorkerIncarnation
-    running: tuple[RunningTask, ...] = ()
+    running: tuple[MeasuredTask, ...] = ()
     ended: tuple[EndedRun, ...] = ()
     refused: tuple[RunKey, ...] = ()
     stop_confirmed: tuple[RunKey, ...] = ()
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -21,12 +21,14 @@
 from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
+from pimentobridge.core.scheduling import interference as interference_lib
 from pimentobridge.core.scheduling import lease_expiry
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import lost_work
 from pimentobridge.core.scheduling import pass_requests
 from pimentobridge.core.scheduling import run_ends
 from pimentobridge.core.scheduling import speeds as speeds_lib
+from pimentobridge.core.scheduling import throttling as throttling_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,6 +74,8 @@
         lost_work: counters of the work that runs have lost.
         durations: expected run times of tasks.
         speeds: speeds of the workers.
+        interference: slowdowns of tasks by co-located ones.
+        throttling: throttles tasks that use spare CPU.
     """
 
     def __init__(
@@ -117,6 +121,12 @@
         self.speeds = speeds_lib.Speeds(
             self.workers_by_incarnation, self.durations, log
         )
+        self.interference = interference_lib.Interference(
+            self.workers_by_incarnation, log
+        )
+        self.throttling = throttling_lib.Throttling(
+            self.workers_by_incarnation, log
+        )
         self.backfill = backfill_lib.Backfill(log)
         self.evacuations = data_centre_evacuation.Evacuations(
             clock=clock, log=log
@@ -302,6 +312,9 @@
                 worker.processed_end = end.number
                 self._on_end(worker, end)
         self._update_running(worker, observation)
+        self.throttling.on_report(
+            worker, observation.running, self._clock.monotonic()
+        )
         for refused in observation.refused:
             self._on_refusal(worker, refused)
         self._release_unlisted(worker, observation.refused, "start refused")
@@ -406,7 +419,7 @@
                 now_s = self._clock.monotonic()
                 entry.observed.update(task.percent, now_s)
                 entry.observed.update_checkpoint(task.checkpoint, now_s)
-                self.speeds.on_progress(worker, entry, now_s)
+                self._learn_pace(worker, entry, task.metric)
                 self._update_checkpoint(entry, task.checkpoint)
             elif task.key not in ended:
                 untracked[task.key] = ledger.footprint_of(
@@ -430,6 +443,21 @@
             task.key for task in observation.running
         )
 
+    def _learn_pace(
+        self,
+        worker: fleet.TrackedWorker,
+        entry: ledger.RunEntry,
+        metric: int | None,
+    ) -> None:
+        now_s = self._clock.monotonic()
+        segment = entry.observed.take_segment()
+        if segment is not None and entry.throttled_s is None:
+            slowdown = self.interference.slowdown_of(worker, entry)
+            self.speeds.on_progress(worker, entry, segment, slowdown, now_s)
+        self.interference.on_running(
+            worker, entry, segment=segment, metric=metric, now_s=now_s
+        )
+
     def _update_checkpoint(self, entry: ledger.RunEntry, value: str) -> None:
         if value and entry.is_current and value != entry.unit.checkpoint:
             entry.unit.checkpoint = value
@@ -477,6 +505,8 @@
         )
 
     def _learn_duration(self, entry: ledger.RunEntry) -> None:
+        if entry.throttled_s is not None:
+            return
         speed = self.speeds.speed_of_run(entry)
         if speed is not None:
             self.durations.on_done(
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -353,6 +353,8 @@
             **engine.evacuation.gauges(),
             **engine.lost_work.gauges(),
             **engine.speeds.gauges(),
+            **engine.interference.gauges(),
+            **engine.throttling.gauges(),
             **engine.durations.gauges(),
             **self._planner.gauges(),
             **engine.backfill.gauges(),
--- a/pimentobridge/platform/runner_status.py
+++ b/pimentobridge/platform/runner_status.py
@@ -11,6 +11,10 @@
 from pimentobridge.core.jobs import runs
 from pimentobridge.platform import http_client
 
+# The figure of a run is rough, and rounded up to this many digits. Rounded
+# down, a latency just over its target would count as within it.
+METRIC_DIGITS = 3
+
 
 class RunnerStatus(msgspec.Struct, frozen=True):
     """A runner's response to a poll.
@@ -80,14 +84,7 @@
 def _status_of(body: dict[str, Any]) -> RunnerStatus:
     return RunnerStatus(
         clock_s=decoding.number(body["clockMs"]) / 1000,
-        running=tuple(
-            runs.RunningTask(
-                runs.RunKey(str(row[0]), decoding.integer(row[1])),
-                str(row[2]),
-                decoding.integer(row[3]),
-            )
-            for row in body["running"]
-        ),
+        running=tuple(_running_task_in(row) for row in body["running"]),
         ended=tuple(
             runs.EndedRun(
                 decoding.integer(row[0]),
@@ -98,3 +95,26 @@
             for row in body["finished"]
         ),
     )
+
+
+def _running_task_in(row: list[Any]) -> runs.RunningTask:
+    key = runs.RunKey(str(row[0]), decoding.integer(row[1]))
+    checkpoint, percent = str(row[2]), decoding.integer(row[3])
+    metric = _metric_in(row)
+    if metric is None:
+        return runs.RunningTask(key, checkpoint, percent)
+    return runs.MeasuredTask(key, checkpoint, percent, metric)
+
+
+def _metric_in(row: list[Any]) -> int | None:
+    """Returns the figure in a row of `running`, rounded; None if unknown."""
+    if len(row) < 5:
+        return None
+    try:
+        value = decoding.integer(row[4])
+    except ValueError:
+        return None
+    if value < 0:
+        return None
+    unit: int = 10 ** max(0, len(str(value)) - METRIC_DIGITS)
+    return -(-value // unit) * unit
