Measure the rate of a run from the report before its first progress

The rate counted the time in which a gang waits for its last member, and the time since the last report, as work. On a load of replaced workers an urgent gang of 2 s of remaining work was taken for one of 7 s and moved twice. The remaining time now runs from the latest report without progress to the latest progress; a run without progress for 1.2 s isn't taken to go on at its rate.

--- a/pimentobridge/core/jobs/observed_progress.py
+++ b/pimentobridge/core/jobs/observed_progress.py
@@ -7,6 +7,9 @@
 
 # Progress from which a run's rate is known.
 MIN_SEEN_PERCENT = 5
+# A run whose progress hasn't increased for longer than two reports doesn't move
+# at its earlier rate.
+MAX_SILENT_S = 1.2
 # Least length and progress of a segment. Reports come twice a second and state
 # whole percentages, so shorter ones say little about the rate.
 MIN_SEGMENT_S = 1.0
@@ -30,6 +33,8 @@
         progressed_s: monotonic time at which its progress last increased.
         first_percent: progress when it was first reported; above 0 for a run
             that had started before the observer did.
+        idle_until_s: monotonic time of the latest report without progress
+            since the first one; members of a gang wait for the others first.
         checkpoint: its latest checkpoint; empty for none.
         checkpointed_s: monotonic time at which that was first reported; None
             without one.
@@ -41,6 +46,7 @@
     started_s: float | None = None
     progressed_s: float = 0.0
     first_percent: int = 0
+    idle_until_s: float = 0.0
     checkpoint: str = ""
     checkpointed_s: float | None = None
     segment_from: tuple[int, float] | None = None
@@ -50,6 +56,8 @@
         if self.started_s is None:
             self.started_s = now_s
             self.first_percent = percent
+        if percent <= self.first_percent:
+            self.idle_until_s = now_s
         if self.percent is None or percent > self.percent:
             self.progressed_s = now_s
         self.percent = percent
@@ -93,6 +101,14 @@
             return 0.0
         return self.progressed_s - self.started_s
 
+    @property
+    def moving_s(self) -> float:
+        """Time from the latest report without progress to the latest progress.
+
+        The run began to work up to one report later.
+        """
+        return max(0.0, self.progressed_s - self.idle_until_s)
+
     def remaining_s(self, now_s: float) -> float | None:
         """Returns the expected remaining time by the rate so far, in seconds.
 
@@ -103,5 +119,11 @@
         seen_percent = self.percent - self.first_percent
         if seen_percent < MIN_SEEN_PERCENT:
             return None
-        seen_s = now_s - self.started_s
-        return seen_s * (100 - self.percent) / seen_percent
+        silent_s = now_s - self.progressed_s
+        if silent_s > MAX_SILENT_S:
+            # It has become slower, or stands still.
+            worked_s, silent_s = now_s - self.idle_until_s, 0.0
+        else:
+            worked_s = self.moving_s
+        left_s = worked_s * (100 - self.percent) / seen_percent
+        return max(0.0, left_s - silent_s)
--- a/pimentobridge/core/scheduling/end_chances.py
+++ b/pimentobridge/core/scheduling/end_chances.py
@@ -9,11 +9,15 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from pimentobridge.core.jobs import observed_progress
+
 # Callers' estimates are off by up to this share of the run time.
 ESTIMATE_ERROR = 0.9
 # Error of a remaining time that is derived from the reported progress: one
-# percent of rounding in the five from which a rate is known.
+# percent of rounding in the five from which a rate is known. The time at which
+# the work began is uncertain by the interval of reports.
 RATE_ERROR = 0.2
+REPORT_INTERVAL_S = 0.5
 COMPLETE_PERCENT = 100
 
 
@@ -48,7 +52,7 @@
         return 1.0
     by_rate_s = observed.remaining_s(now_s)
     if by_rate_s is not None:
-        return _chance_below(by_rate_s, within_s, RATE_ERROR)
+        return _chance_below(by_rate_s, within_s, _rate_error(observed))
     estimate_s = entry.step.estimate_s or ledger.DEFAULT_ESTIMATE_S
     left_s = estimate_s * (100 - observed.first_percent) / 100
     worked_s = 0.0 if observed.started_s is None else now_s - observed.started_s
@@ -60,6 +64,14 @@
     return (ended_then - ended_by_now) / (1.0 - ended_by_now)
 
 
+def _rate_error(observed: observed_progress.ObservedProgress) -> float:
+    """Returns the error of a remaining time that follows from the progress."""
+    if observed.moving_s <= REPORT_INTERVAL_S:
+        return ESTIMATE_ERROR
+    error = max(RATE_ERROR, REPORT_INTERVAL_S / observed.moving_s)
+    return min(ESTIMATE_ERROR, error)
+
+
 def _chance_below(estimate_s: float, limit_s: float, error: float) -> float:
     """Returns how likely it is that a time is below a limit.
 
--- a/tests/test_end_chances.py
+++ b/tests/test_end_chances.py
@@ -7,6 +7,7 @@
 from pimentobridge.core.jobs import model
 from pimentobridge.core.scheduling import end_chances
 from pimentobridge.core.scheduling import ledger
+from pimentobridge.core.scheduling import move_verdicts
 from pimentobridge.testing import engine_harness
 
 
@@ -59,6 +60,22 @@
     assert end_chances.chance_of_end(members, within_s, 8.0) == chance
 
 
+# Guards against the load of a rolling update: the time in which a gang waited
+# for its last member counted as work, so that urgent gangs were moved although
+# they would have ended 2 s before the departure.
+def test_a_gang_that_waited_for_a_member_is_not_slow() -> None:
+    waited = [(0.0, 0), (0.5, 0), (1.0, 0)]
+    members = _members((*waited, (1.5, 12), (2.0, 25)))
+    chance = end_chances.chance_of_end(members, 4.5, 2.2)
+    assert chance >= move_verdicts.LIKELY
+
+
+def test_a_run_that_stands_still_is_not_expected_to_go_on_at_its_rate() -> None:
+    members = _members(((0.0, 0), (0.5, 10), (1.0, 20)))
+    assert end_chances.chance_of_end(members, 5.0, 1.2) >= move_verdicts.LIKELY
+    assert end_chances.chance_of_end(members, 5.0, 6.0) == 0.0
+
+
 def test_a_gang_ends_with_its_slowest_member() -> None:
     members = _members(((0.0, 0), (8.0, 80)), ((0.0, 0), (8.0, 20)))
     assert end_chances.chance_of_end(members, 5.0, 8.0) == 0.0
