--- a/pimentobridge/core/scheduling/durations.py
+++ b/pimentobridge/core/scheduling/durations.py
@@ -21,14 +21,15 @@
 # Jobs that must have ended before anything is derived from them: the spread of
 # fewer says little.
 MIN_JOBS = 3
-# Number of latest jobs that the figures reflect; older ones fade, so that the
-# figures follow a demand that changes.
+# Number of latest jobs that the figures reflect; older ones decay, so that
+# the figures follow a demand that changes.
 MEMORY_JOBS = 50
 # Variance assumed before any observation, and its weight in jobs. It keeps a
 # few equal run times from counting as certain.
 PRIOR_VARIANCE = 0.25
 PRIOR_JOBS = 2.0
-# Bounds of a work that is learned, in seconds; others are faults of clocks.
+# Bounds of the work of a task, in seconds. Figures beyond them are errors of
+# clocks.
 MIN_WORK_S = 0.01
 MAX_WORK_S = 1e6
 # A rate of progress is used instead of the run time if it covers this share of
@@ -53,16 +54,22 @@
 
 @dataclasses.dataclass
 class _Figure:
-    """Mean and variance of observations, of which older ones fade."""
+    """Mean and variance of observations, of which older ones decay.
+
+    Attributes:
+        weight: number of observations, the older ones weighted less.
+        mean: their mean.
+        squares: sum of their squared deviations from the mean.
+    """
 
     weight: float = 0.0
     mean: float = 0.0
     squares: float = 0.0
 
     def add(self, value: float) -> None:
-        fade = 1 - 1 / MEMORY_JOBS
-        self.weight = self.weight * fade + 1
-        self.squares *= fade
+        decay = 1 - 1 / MEMORY_JOBS
+        self.weight = self.weight * decay + 1
+        self.squares *= decay
         before = value - self.mean
         self.mean += before / self.weight
         self.squares += before * (value - self.mean)
@@ -107,8 +114,9 @@
     def __init__(self) -> None:
         self._learned_by_key: dict[Key, _Learned] = {}
         self._counted_by_job: dict[types.JobId, set[int]] = {}
+        # Number of observations so far, and the number when each job's expected
+        # times were last computed.
         self._changes = 0
-        # Changes up to which each job's expected times are computed.
         self._seen_by_job: dict[types.JobId, int] = {}
 
     def on_done(
--- a/pimentobridge/core/scheduling/speeds.py
+++ b/pimentobridge/core/scheduling/speeds.py
@@ -32,29 +32,28 @@
     from pimentobridge.core.scheduling import ledger
 
 HALF_LIFE_S = 60.0
-# Speeds are estimated anew at most this often. An update with as many
-# observations as are kept takes 8 to 13 ms.
+# Speeds are estimated anew at most this often.
 UPDATE_INTERVAL_S = 1.0
 # Number of passes over the observations in one update. The result of the last
 # update is the start of the next one.
 SWEEPS = 3
 # Variance of speeds among workers before any observation.
 PRIOR_VARIANCE = 0.16
-# Error of a measured rate: of the percentages, which are whole numbers, of the
-# times of the reports that name them, and what remains otherwise.
+# Parts of the error of a rate of progress: rounding of the percentages to whole
+# numbers, the times of the reports that name them, and all other causes.
 PERCENT_ERROR = 0.6
 REPORT_TIME_ERROR_S = 0.15
 RATE_ERROR = 0.05
-# Most that the observations of one step on one worker count together: whatever
-# else slows its tasks there is common to all of them.
+# Maximum precision of the observations of one step on one worker together:
+# whatever else slows its tasks there is common to all of them.
 MAX_PRECISION = 100.0
 # An observation counts less in proportion once it is off by more than this.
 OUTLIER = 0.3
-# Members whose estimated speeds differ by this much share the blame for a slow
-# gang in a proportion of e to 1.
+# Members whose estimated speeds differ by this much are weighted e to 1 as the
+# cause of a slow gang.
 MEMBER_SCALE = 0.15
-# Differences from the average speed that may be due to chance only: a fleet of
-# equal workers is treated as such.
+# Smaller differences from the average speed (as logarithms) count as none, as
+# they may be due to chance.
 MIN_DIFFERENCE = 0.1
 # Observations with less weight than this are dropped.
 MIN_PRECISION = 0.5
@@ -89,17 +88,19 @@
 
 
 @dataclasses.dataclass
-class _Team:
+class _Group:
     """Workers that move at a common pace: those of a gang, or a single one.
 
     Attributes:
-        trust: weight from 0 to 1, low for an outlier.
+        outlier_weight: weight from 0 to 1, low for an outlier.
+        rate: common rate, a logarithm like those of the observations.
+        precision: inverse of the variance of `rate`.
     """
 
     by_agent: dict[types.Address, _Observation] = dataclasses.field(
         default_factory=dict
     )
-    trust: float = 1.0
+    outlier_weight: float = 1.0
     rate: float = 0.0
     precision: float = 0.0
 
@@ -131,18 +132,20 @@
 
     Attributes:
         prior: the work by learned durations; None while none are.
-        teams_by_key: by run for a gang, or else by agent.
+        groups_by_key: by run for a gang, or else by agent.
     """
 
     tracked: ledger.TrackedJob
     number: int
     prior: durations_lib.Expectation | None = None
-    teams_by_key: dict[object, _Team] = dataclasses.field(default_factory=dict)
+    groups_by_key: dict[object, _Group] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def size(self) -> int:
         """Number of observations."""
-        return sum(len(team.by_agent) for team in self.teams_by_key.values())
+        return sum(len(group.by_agent) for group in self.groups_by_key.values())
 
 
 class Speeds:
@@ -200,9 +203,9 @@
         step = self._steps_by_key.get(key)
         if step is None:
             step = self._steps_by_key[key] = _Step(entry.tracked, name.step)
-        team_key = entry.run if entry.step.gang else worker.agent
-        team = step.teams_by_key.setdefault(team_key, _Team())
-        observation = team.by_agent.setdefault(
+        group_key = entry.run if entry.step.gang else worker.agent
+        group = step.groups_by_key.setdefault(group_key, _Group())
+        observation = group.by_agent.setdefault(
             worker.agent, _Observation(at_s=now_s)
         )
         rate = math.log(segment.percent / 100 / segment.seconds * slowdown)
@@ -214,9 +217,9 @@
         The worker on it has restarted, and may have changed.
         """
         for step in self._steps_by_key.values():
-            for team in step.teams_by_key.values():
-                if agent in team.by_agent:
-                    team.by_agent[agent].precision /= 2
+            for group in step.groups_by_key.values():
+                if agent in group.by_agent:
+                    group.by_agent[agent].precision /= 2
 
     def update(self, now_s: float) -> None:
         """Estimates the speeds anew, if that is due."""
@@ -260,11 +263,11 @@
     def _summarize(self, now_s: float) -> None:
         for step_key, step in list(self._steps_by_key.items()):
             step.prior = self._durations.expectation(step.tracked, step.number)
-            for key, team in list(step.teams_by_key.items()):
-                team.summarize(now_s)
-                if not team.by_agent:
-                    del step.teams_by_key[key]
-            if not step.teams_by_key:
+            for key, group in list(step.groups_by_key.items()):
+                group.summarize(now_s)
+                if not group.by_agent:
+                    del step.groups_by_key[key]
+            if not step.groups_by_key:
                 del self._steps_by_key[step_key]
         kept = sum(step.size for step in self._steps_by_key.values())
         while kept > MAX_OBSERVATIONS:
@@ -314,50 +317,50 @@
 ) -> Iterable[tuple[types.Address, float, float]]:
     """Yields what a step's observations say of speeds: agent, speed, weight.
 
-    Each team is compared with the step's work by the other teams and by the
+    Each group is compared with the step's work by the other groups and by the
     learned durations.
     """
     prior = step.prior
     weight = 1 / prior.variance if prior is not None else 0.0
     work = weight * prior.mean if prior is not None else 0.0
     rows = []
-    for team in step.teams_by_key.values():
-        slowest = team.slowest(speeds)
-        precision = team.precision * team.trust
-        rows.append((team, slowest, precision))
+    for group in step.groups_by_key.values():
+        slowest = group.slowest(speeds)
+        precision = group.precision * group.outlier_weight
+        rows.append((group, slowest, precision))
         weight += precision
-        work += precision * (slowest - team.rate)
-    for team, slowest, precision in rows:
+        work += precision * (slowest - group.rate)
+    for group, slowest, precision in rows:
         others = weight - precision
         if others < MIN_PRECISION:
             continue
-        others_work = (work - precision * (slowest - team.rate)) / others
-        error = others_work + team.rate - slowest
-        team.trust = min(1.0, OUTLIER / abs(error)) if error else 1.0
-        for agent, speed, share in _shares(team, others_work, speeds):
+        others_work = (work - precision * (slowest - group.rate)) / others
+        error = others_work + group.rate - slowest
+        group.outlier_weight = min(1.0, OUTLIER / abs(error)) if error else 1.0
+        for agent, speed, share in _shares(group, others_work, speeds):
             yield agent, speed, share / (1 / precision + 1 / others)
 
 
 def _shares(
-    team: _Team, work: float, speeds: Mapping[types.Address, float]
+    group: _Group, work: float, speeds: Mapping[types.Address, float]
 ) -> Iterable[tuple[types.Address, float, float]]:
-    """Yields what a team's rate says of its members: agent, speed, weight.
+    """Yields what a group's rate says of its members: agent, speed, weight.
 
     A member that seems slower than the rate allows is faster. Of the others,
-    the slowest ones are as fast as the team.
+    the slowest ones are as fast as the group.
     """
-    if len(team.by_agent) == 1:
-        yield next(iter(team.by_agent)), work + team.rate, 1.0
+    if len(group.by_agent) == 1:
+        yield next(iter(group.by_agent)), work + group.rate, 1.0
         return
-    slowest = team.slowest(speeds)
-    blame = {
+    slowest = group.slowest(speeds)
+    weights = {
         agent: math.exp((slowest - speeds.get(agent, 0.0)) / MEMBER_SCALE)
-        for agent in team.by_agent
+        for agent in group.by_agent
     }
-    total = sum(blame.values())
-    for agent, observation in team.by_agent.items():
+    total = sum(weights.values())
+    for agent, observation in group.by_agent.items():
         least = work + observation.rate
         if speeds.get(agent, 0.0) < least:
             yield agent, least, 1.0
         else:
-            yield agent, work + team.rate, blame[agent] / total
+            yield agent, work + group.rate, weights[agent] / total
