--- a/pimentobridge/core/scheduling/data_centre_evacuation.py
+++ b/pimentobridge/core/scheduling/data_centre_evacuation.py
@@ -1,4 +1,7 @@
-"""Keeps data centres free of new runs while the operator evacuates them."""
+"""Keeps data centres free of new runs while the operator evacuates them.
+
+Runs on workers that depart by themselves are moved by `evacuation`.
+"""
 
 from __future__ import annotations
 
--- a/pimentobridge/core/scheduling/departures.py
+++ b/pimentobridge/core/scheduling/departures.py
@@ -196,7 +196,7 @@
     # Workers that are expected to depart.
 
     def is_expected(self, worker: fleet.TrackedWorker) -> bool:
-        """Returns whether a worker that doesn't drain is to be replaced next.
+        """Returns whether a worker that doesn't drain is expected to depart.
 
         That is so while others of its version and service are being replaced by
         workers of a newer version, or those of its service that have been there
--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -4,7 +4,10 @@
 checkpoints loses nothing by that; it is moved as soon as there is room for it
 elsewhere, and otherwise just before its worker departs. Another run starts from
 the beginning, so it is moved only if it would probably be lost where it is, and
-without room for it elsewhere only if it can't end in time at all.
+without room for it elsewhere only if it is unlikely to end in time.
+
+The operator's requests to evacuate a data centre, whose workers don't depart,
+are in `data_centre_evacuation`.
 """
 
 from __future__ import annotations
--- a/pimentobridge/core/scheduling/faster_workers.py
+++ b/pimentobridge/core/scheduling/faster_workers.py
@@ -1,4 +1,4 @@
-"""Makes room on fast workers for urgent units that would be late elsewhere."""
+"""Preempts on fast workers for urgent units that would be late elsewhere."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
     losses: the unit can start without any.
 
     Args:
-        pace: tells on which workers a unit would be late.
+        pace: expected run times of units on the workers.
         preemptor: stops the runs.
         clock: source of time.
         log: writes a log line, given an event text and fields.
--- a/pimentobridge/core/scheduling/holds.py
+++ b/pimentobridge/core/scheduling/holds.py
@@ -66,7 +66,7 @@
         self._claims.append(hold._replace(keys=keys))
 
     def release(self, job: types.JobId) -> None:
-        """Gives back what a job claims, as it is its turn."""
+        """Gives a job's own holds back to it, when its next unit is tried."""
         for hold in [one for one in self._in_force if one.job == job]:
             self._in_force.remove(hold)
             for key in hold.keys:
--- a/pimentobridge/core/scheduling/interference.py
+++ b/pimentobridge/core/scheduling/interference.py
@@ -68,7 +68,7 @@
 MAX_NEIGHBOURS = 12
 # Limit on the observations that are kept, each counted once and once for each
 # co-located kind, the steps first seen longest ago dropped first. It bounds the
-# time of an update, 13 ms with as many as are kept and 14 kinds.
+# time of an update.
 MAX_TERMS = 2000
 
 # The slowed kind and the co-located one.
@@ -131,6 +131,8 @@
     """Observations of one step's tasks.
 
     Attributes:
+        kind: kind of the tasks.
+        serving: whether they serve requests, so that latency is observed.
         own: logarithm of the slowness without neighbours; None before it is
             estimated.
     """
@@ -174,8 +176,8 @@
         self._slowdowns: dict[Pair, float] = {}
         self._slowness_by_agent: dict[types.Address, float] = {}
         self._precision_by_agent: dict[types.Address, float] = {}
-        # The estimates that are certain enough; and for each kind and neighbour
-        # that of the kind beside it, and the sum of those in both directions.
+        # The estimates that are certain enough, as logarithms. By kind and
+        # neighbour: the slowdown of the kind, and the sum of both directions.
         self._known: dict[Pair, float] = {}
         self._effects_by_kind: dict[
             kinds.Kind, dict[kinds.Kind, tuple[float, float]]
@@ -347,7 +349,7 @@
         return 1 / (1 / precision + 1 / others)
 
     def _use(self, known: dict[Pair, float]) -> None:
-        """Replaces the slowdowns that are certain enough."""
+        """Puts the slowdowns that are certain enough into use."""
         self._known = known
         self._effects_by_kind = {}
         for slowed, beside in known:
--- a/pimentobridge/core/scheduling/kinds.py
+++ b/pimentobridge/core/scheduling/kinds.py
@@ -1,4 +1,4 @@
-"""Tells which tasks are expected to behave alike."""
+"""Identifies the tasks that are expected to behave alike."""
 
 from __future__ import annotations
 
--- a/pimentobridge/core/scheduling/move_verdicts.py
+++ b/pimentobridge/core/scheduling/move_verdicts.py
@@ -32,7 +32,7 @@
 # A run without room elsewhere is moved only if its chance to end in time is
 # below this: it waits for room in any case, and from its stop on it neither
 # holds resources on workers that stay nor does work that is lost.
-HOPELESS = 0.05
+UNLIKELY = 0.05
 # A run that saves checkpoints isn't stopped at the last moment if it is about
 # to end with this chance; if it doesn't, the work since its last checkpoint is
 # lost.
@@ -43,7 +43,7 @@
     """What becomes of a run on a departing worker, and why."""
 
     MOVE_TO_ROOM = "room elsewhere"
-    MOVE_HOPELESS = "can't end in time"
+    MOVE_CANNOT_END = "can't end in time"
     MOVE_BEFORE_DEPARTURE = "worker about to depart"
     MOVE_UNKNOWN_DEPARTURE = "time of departure unknown"
     STAY_ENDS_IN_TIME = "expected to end in time"
@@ -57,7 +57,7 @@
         """Whether the run is moved."""
         return self in (
             Verdict.MOVE_TO_ROOM,
-            Verdict.MOVE_HOPELESS,
+            Verdict.MOVE_CANNOT_END,
             Verdict.MOVE_BEFORE_DEPARTURE,
             Verdict.MOVE_UNKNOWN_DEPARTURE,
         )
@@ -165,6 +165,6 @@
         return Verdict.MOVE_TO_ROOM
     if run.step.gang and room.find(run, anywhere=True) is not None:
         return Verdict.STAY_ALL_REPLACED
-    if chance < HOPELESS:
-        return Verdict.MOVE_HOPELESS
+    if chance < UNLIKELY:
+        return Verdict.MOVE_CANNOT_END
     return Verdict.STAY_NO_ROOM
--- a/pimentobridge/core/scheduling/pace.py
+++ b/pimentobridge/core/scheduling/pace.py
@@ -21,15 +21,16 @@
 # Factor between two steps of speed. Workers of one step count as equal, so that
 # small errors of the learned speeds don't decide.
 STEP_FACTOR = 1.25
-# Time that a run takes in addition to its work: the start is recorded and
-# ordered first, with an observed median of 0.19 s, and the end is known with
-# one of the two reports in a second.
+# Time that a run takes in addition to its work: its start is recorded and
+# ordered first, and its end is known only with the next of the two reports in a
+# second.
 OVERHEAD_S = 0.4
 # Cost of a late result; above any difference in pace.
 LATE_COST = 1000.0
 # Cost, for work that isn't urgent, of being away from its rack: it takes
 # capacity for longer on any worker there.
 REMOTE_COST = 100.0
+# Upper limit of the setting `bounds.remoteFactor`.
 MAX_REMOTE_FACTOR = 100.0
 
 
@@ -59,7 +60,7 @@
     def start_pass(
         self, workers: Iterable[fleet.TrackedWorker], now_s: float
     ) -> None:
-        """Takes the speeds for a pass."""
+        """Updates the speeds, which then stay the same for the pass."""
         self._speeds.update(now_s)
         self._speed_by_key = {
             worker.key: speed
@@ -117,7 +118,7 @@
     def cost(
         self, worker: fleet.TrackedWorker, demand: placement.Demand
     ) -> float:
-        """Returns the cost; see the class."""
+        """Returns the cost, see the class."""
         if not self.uneven:
             return 0.0
         late = LATE_COST * self.is_late(worker, demand)
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -128,7 +128,7 @@
     def give_back(
         self, key: runs.IncarnationKey, amount: model.Resources
     ) -> None:
-        """Takes back a call of `reserve`."""
+        """Makes resources that were reserved free again."""
         self.free_by_key[key] += amount
 
     def reserved_for_other(
@@ -270,7 +270,7 @@
     accelerators = footprint.accelerators
     for worker in candidates.eligible(demand):
         free = free_by_key[worker.key]
-        # Written out, as most workers of a crowded fleet have no room. What
+        # A fast check, as most workers of a crowded fleet have no room. What
         # isn't requested may be overcommitted.
         if (
             (accelerators and free.accelerators < accelerators)
@@ -354,7 +354,7 @@
     options: list[packing.Option],
     chosen: list[runs.IncarnationKey],
 ) -> list[runs.IncarnationKey]:
-    """Returns workers for a gang that cost about as much as its most costly.
+    """Returns workers for a gang that cost about as much as its costliest one.
 
     A gang runs at the pace of its slowest member, so a better worker for
     another member gains nothing and is left to others. In all other respects
@@ -391,7 +391,7 @@
     costs_by_key: Mapping[runs.IncarnationKey, tuple[float, ...]],
     chosen: list[runs.IncarnationKey],
 ) -> float:
-    """Returns how much the members of a gang differ in pace."""
+    """Returns how much the last costs of a gang's members differ."""
     if not candidates.slowest_member_decides:
         return 0.0
     last = [costs_by_key[key][-1] for key in chosen]
--- a/pimentobridge/core/scheduling/remoteness.py
+++ b/pimentobridge/core/scheduling/remoteness.py
@@ -1,4 +1,4 @@
-"""Tells which runs are slow because they are away from their rack."""
+"""Determines which runs are slow because they are away from their rack."""
 
 from __future__ import annotations
 
--- a/pimentobridge/core/scheduling/shares.py
+++ b/pimentobridge/core/scheduling/shares.py
@@ -77,7 +77,7 @@
 
 
 class _Turn(NamedTuple):
-    """Place of an account in the order, by its next job."""
+    """Sort key of an account, by its next job; the lowest is next."""
 
     share: float
     without_reservation: bool
--- a/pimentobridge/core/scheduling/slowdown_errors.py
+++ b/pimentobridge/core/scheduling/slowdown_errors.py
@@ -65,7 +65,11 @@
     step: StepRows,
     index_by_kind: dict[kinds.Kind, int],
 ) -> None:
-    """Adds what a step tells, less what its own figure is determined from."""
+    """Adds the information of one step's observations.
+
+    The step's own figure is estimated from the same observations, and the
+    information that this takes is subtracted (a Schur complement).
+    """
     total = step.own_precision
     sums: dict[int, float] = {}
     for neighbours, precision in step.rows:
--- a/pimentobridge/core/scheduling/throttling.py
+++ b/pimentobridge/core/scheduling/throttling.py
@@ -38,8 +38,9 @@
 
     Attributes:
         percent: share of their work, from 0 to 100.
-        known: whether it is that; False while an earlier scheduler may have
-            ordered another one. Nothing is ordered then.
+        known: whether `percent` is what the worker applies; False while an
+            earlier scheduler may have ordered another share. Nothing is ordered
+            then.
     """
 
     percent: int = FULL_PERCENT
@@ -64,7 +65,7 @@
 
     @property
     def is_new(self) -> bool:
-        """Whether it has never been updated."""
+        """Whether no report has updated the share yet."""
         return self._over_since_s is None and self._within_since_s is None
 
     def _on_over(self, now_s: float) -> None:
