--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -34,6 +34,7 @@
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import contained_error
     from pimentobridge.core.jobs import configuration
+    from pimentobridge.core.scheduling import backfill as backfill_lib
     from pimentobridge.core.scheduling import engine as engine_lib
 
 
@@ -119,6 +120,29 @@
         engine = self._engine
         now_s = self._clock.monotonic()
         engine.needs_pass = False
+        current = self._start_pass(now_s)
+        for tracked in current.turns:
+            with self._contain("placing a job", job=tracked.id) as error:
+                self._place_job(tracked, current)
+            if error.occurred:
+                engine.incomplete = True
+                current.turns.finish(tracked)
+        with self._contain("moving runs off departing workers") as error:
+            engine.evacuation.run(current.candidates, self._demand)
+        engine.incomplete |= error.occurred
+        with self._contain("evacuating data centres") as error:
+            self._migrate_evacuated(current.candidates, now_s)
+        engine.incomplete |= error.occurred
+        if self._waiting:
+            engine.passes.request_at(now_s + RETRY_INTERVAL_S)
+
+    def gauges(self) -> dict[str, float]:
+        """Returns the gauges of the decisions, by metric name."""
+        return self._faster_workers.gauges()
+
+    def _start_pass(self, now_s: float) -> _Pass:
+        """Updates what is learned, ranks the jobs and holds resources."""
+        engine = self._engine
         candidates = placement.Candidates(
             engine.placeable_workers(),
             self._preferences,
@@ -167,24 +191,7 @@
             now_s=now_s,
         )
         engine.evacuation.hold_room(current.held, candidates)
-        for tracked in turns:
-            with self._contain("placing a job", job=tracked.id) as error:
-                self._place_job(tracked, current)
-            if error.occurred:
-                engine.incomplete = True
-                turns.finish(tracked)
-        with self._contain("moving runs off departing workers") as error:
-            engine.evacuation.run(candidates, self._demand)
-        engine.incomplete |= error.occurred
-        with self._contain("evacuating data centres") as error:
-            self._migrate_evacuated(candidates, now_s)
-        engine.incomplete |= error.occurred
-        if self._waiting:
-            engine.passes.request_at(now_s + RETRY_INTERVAL_S)
-
-    def gauges(self) -> dict[str, float]:
-        """Returns the gauges of the decisions, by metric name."""
-        return self._faster_workers.gauges()
+        return current
 
     def _migrate_evacuated(
         self, candidates: placement.Candidates, now_s: float
@@ -394,24 +401,7 @@
             for worker in workers
         )
         engine.interference.on_placed(interference)
-        started = []
-        for member, key in enumerate(assigned):
-            name = model.TaskName(*step_name, unit.first + member)
-            entry = ledger.RunEntry(
-                tracked,
-                name,
-                unit,
-                unit.run,
-                member,
-                tracked.changes,
-                expected_s=expected_s,
-                backfilled_for=placed.owner,
-            )
-            worker = engine.workers_by_incarnation[key]
-            worker.add(entry)
-            started.append((worker, entry))
-            candidates.reserve(key, step.footprint)
-        current.ends.add(started)
+        self._add_runs(tracked, step_name, unit, placed, expected_s, current)
         self._log(
             "unit placed",
             job=tracked.id,
@@ -432,6 +422,35 @@
         )
         return True
 
+    def _add_runs(
+        self,
+        tracked: ledger.TrackedJob,
+        step_name: advice_lib.StepName,
+        unit: progress_lib.Unit,
+        placed: backfill_lib.Placed,
+        expected_s: float,
+        current: _Pass,
+    ) -> None:
+        """Adds the runs of a unit that was placed to their workers."""
+        started = []
+        for member, key in enumerate(placed.assigned):
+            name = model.TaskName(*step_name, unit.first + member)
+            entry = ledger.RunEntry(
+                tracked,
+                name,
+                unit,
+                unit.run,
+                member,
+                tracked.changes,
+                expected_s=expected_s,
+                backfilled_for=placed.owner,
+            )
+            worker = self._engine.workers_by_incarnation[key]
+            worker.add(entry)
+            started.append((worker, entry))
+            current.candidates.reserve(key, entry.step.footprint)
+        current.ends.add(started)
+
     def _jobs_passed(
         self, tracked: ledger.TrackedJob, assigned: list[runs.IncarnationKey]
     ) -> list[types.JobId]:
