--- a/pimentobridge/core/scheduling/ledger.py
+++ b/pimentobridge/core/scheduling/ledger.py
@@ -25,8 +25,8 @@
 class StopReason(enum.Enum):
     """Why the scheduler stops a run.
 
-    `DEPARTURE`: its worker is about to depart. `PREEMPTION`: a more urgent job
-    needs the resources.
+    `DEPARTURE`: its worker is about to depart, or in an evacuated data centre.
+    `PREEMPTION`: a more urgent job needs the resources.
     """
 
     DEPARTURE = "departure"
--- a/pimentobridge/core/scheduling/lost_work.py
+++ b/pimentobridge/core/scheduling/lost_work.py
@@ -20,9 +20,10 @@
 class LossCause(enum.Enum):
     """Why work was lost.
 
-    `STOPPED_DRAIN`: the run was moved off a departing worker. `GANG_BROKEN`:
-    another member of the gang ended. `WORKER_LOST`: the worker's incarnation
-    has ended, or hasn't reported until its lease expired.
+    `STOPPED_DRAIN`: the run was moved off a departing worker, or out of an
+    evacuated data centre. `GANG_BROKEN`: another member of the gang ended.
+    `WORKER_LOST`: the worker's incarnation has ended, or hasn't reported until
+    its lease expired.
     """
 
     STOPPED_DRAIN = "stopped_drain"
--- a/pimentobridge/testing/uneven_fleet.py
+++ b/pimentobridge/testing/uneven_fleet.py
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass
 class _Worker:
-    """What a worker holds and has yet to hear acknowledged."""
+    """A simulated worker, its runs, and its ends that aren't acknowledged."""
 
     speed: float
     runs_by_key: dict[runs.RunKey, _Run] = dataclasses.field(
@@ -150,16 +150,16 @@
     def _work(self) -> None:
         paces: dict[tuple[str, int], float] = {}
         members: dict[tuple[str, int], int] = {}
-        every = [
+        all_runs = [
             (worker, key, run)
             for worker in self.workers
             for key, run in worker.runs_by_key.items()
         ]
-        for worker, key, run in every:
+        for worker, key, run in all_runs:
             unit = run.task.job, key.run
             paces[unit] = min(paces.get(unit, worker.speed), worker.speed)
             members[unit] = members.get(unit, 0) + 1
-        for worker, key, run in every:
+        for worker, key, run in all_runs:
             step = self._step_of(run.task)
             speed = worker.speed
             if step.gang:
--- a/pimentobridge/testing/virtual_runs.py
+++ b/pimentobridge/testing/virtual_runs.py
@@ -18,6 +18,8 @@
 
 @dataclasses.dataclass
 class _Run:
+    """A run on a simulated worker."""
+
     started_s: float
     run_time_s: float
     stopping: bool = False
@@ -73,7 +75,7 @@
         self._harness.plan()
         self._harness.record()
         for number in self._runs_by_worker:
-            self._obey(number, self._report(number, ()))
+            self._apply_orders(number, self._report(number, ()))
 
     def _take_ends(self, number: int) -> tuple[runs.EndedRun, ...]:
         now_s = self._harness.clock.monotonic()
@@ -101,7 +103,7 @@
         )
         return self._harness.observe(number, running=running, ended=ended)
 
-    def _obey(self, number: int, orders: runs.Instructions) -> None:
+    def _apply_orders(self, number: int, orders: runs.Instructions) -> None:
         now_s = self._harness.clock.monotonic()
         executing = self._runs_by_worker[number]
         for start in orders.starts:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -256,7 +256,7 @@
     assert harness.engine.evacuation.gauges() == {"runs_moved": 2}
 
 
-# Guards against gangs that are chased from worker to worker through a rolling
+# Guards against gangs that are moved from worker to worker through a rolling
 # update: the room elsewhere was on workers that were replaced next.
 def test_a_gang_stays_if_all_other_workers_are_replaced_next() -> None:
     harness = _fleet_in_update(old=3, new=1)
