--- a/pimentobridge/core/scheduling/holds.py
+++ b/pimentobridge/core/scheduling/holds.py
@@ -66,7 +66,7 @@
         self._claims.append(hold._replace(keys=keys))
 
     def release(self, job: types.JobId) -> None:
-        """Gives a job's own holds back to it, when its next unit is tried."""
+        """Gives a job's holds back to it, before its first unit is tried."""
         for hold in [one for one in self._in_force if one.job == job]:
             self._in_force.remove(hold)
             for key in hold.keys:
