--- a/pimentobridge/core/scheduling/end_chances.py
+++ b/pimentobridge/core/scheduling/end_chances.py
@@ -53,7 +53,9 @@
     by_rate_s = observed.remaining_s(now_s)
     if by_rate_s is not None:
         return _chance_below(by_rate_s, within_s, _rate_error(observed))
-    estimate_s = entry.step.estimate_s or ledger.DEFAULT_ESTIMATE_S
+    estimate_s = (
+        entry.expected_s or entry.step.estimate_s or ledger.DEFAULT_ESTIMATE_S
+    )
     left_s = estimate_s * (100 - observed.first_percent) / 100
     worked_s = 0.0 if observed.started_s is None else now_s - observed.started_s
     # It hasn't ended by now, which rules out the shorter of the possible times.
