Check the platform's configuration document before it is sent

Entries skip a document that can't be decoded and ignore one whose version isn't above the one in force, and a name that appears twice silently replaces the earlier entry, so operators saw such faults only in the logs or not at all.

'pimentobridge config check' reports them with their place in wire names, what was received, what is accepted and the remedy, and lists the differences from the version in force, read from a file or the store. API keys appear only as their number and a short digest. The checks are pure (core/jobs/configuration_check.py); the wire names stay in platform/operator_configuration.py. differences.describe_changes accepts any struct, so that it serves this document too.

--- a/pimentobridge/cli/main.py
+++ b/pimentobridge/cli/main.py
@@ -3,7 +3,8 @@
 Exit codes: 0 success; 1 a bound or an invariant is violated, or a command found
 something to report, such as a difference or an alert; 2 invalid arguments or
 files; 3 a conflict with the configuration in force; 4 a shutdown left requests
-unfinished; 5 the store or an entry doesn't answer.
+unfinished; 5 the store or an entry doesn't answer. `config check` exits with 2
+also if the store doesn't answer.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 from pimentobridge.cli import bench
 from pimentobridge.cli import changes
+from pimentobridge.cli import config
 from pimentobridge.cli import explain
 from pimentobridge.cli import lab
 from pimentobridge.cli import operate
@@ -54,6 +56,7 @@
         )
         command.set_defaults(run=_run_daemon)
     changes.add_commands(commands)
+    config.add_commands(commands)
     operate.add_commands(commands)
     bench.add_commands(commands)
     explain.add_commands(commands)
--- a/pimentobridge/console/differences.py
+++ b/pimentobridge/console/differences.py
@@ -17,7 +17,7 @@
 
 
 def describe_changes(
-    before: configuration.Document | None, after: configuration.Document
+    before: msgspec.Struct | None, after: msgspec.Struct
 ) -> list[str]:
     """Returns one sentence for each difference between two documents.
 
