--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -304,6 +304,18 @@
     assert lines[-1] == "errors: 2, warnings: 0"
 
 
+def test_a_difference_takes_one_line(
+    write: Any, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # A line break in a name must not be taken for another difference.
+    new = with_value("routes.+", ROUTE_C | {"name": "x\nerror: y"})
+    new["version"] = 5
+    assert check(write("a", new), "--against", write("b", VALID)) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert len(lines) == 3
+    assert lines[1].startswith("difference: x\\nerror: y is added to routes")
+
+
 def test_a_document_that_cannot_be_decoded_is_an_error(
     write: Any, capsys: pytest.CaptureFixture[str]
 ) -> None:
