Don't stop long-running tasks for the job with the reservation

A unit that a reservation held back for too long may use the reserved capacity, also a task of a service. The job with the reservation then stopped all of them at once, more than mayMiss, because they save checkpoints; preemption never stops long-running tasks. They are left out there too.

In the new test, before the change, three tasks of a service with mayMiss 1 were stopped 72 times in 80 s: the freed capacity went to them again.

--- a/pimentobridge/core/scheduling/backfill.py
+++ b/pimentobridge/core/scheduling/backfill.py
@@ -284,7 +284,8 @@
     """Returns the backfilled units that save checkpoints.
 
     Each is returned by the job in whose reserved capacity it runs. That job may
-    stop it though their priorities are the same.
+    stop it though their priorities are the same. Long-running tasks aren't
+    stopped, as their step limits how many of them may be unavailable.
     """
     victims_by_owner: dict[types.JobId, dict[int, reclaim.Victim]] = {}
     for worker in workers:
@@ -293,6 +294,7 @@
             if (
                 owner is None
                 or not entry.step.checkpointing
+                or entry.step.long_running
                 or entry.stop_requested
                 or not entry.is_current
             ):
--- a/tests/test_backfill.py
+++ b/tests/test_backfill.py
@@ -116,6 +116,23 @@
     assert fleet.runs.first_start_s("b") < target_s + 4.0
 
 
+# Guards against tasks of a service that become unavailable, more than `mayMiss`
+# of them at a time: they may be in reserved capacity that was idle for long.
+def test_a_service_in_reserved_capacity_is_not_stopped() -> None:
+    fleet = _WaitingWideTask({"a": 60.0, "s": float("inf")})
+    service = model.Step(
+        3,
+        engine_harness.GPU,
+        checkpointing=True,
+        long_running=True,
+        max_unavailable=1,
+    )
+    fleet.put(engine_harness.job("s" * 16, service, account="small"))
+    fleet.runs.advance(80.0)
+    assert fleet.runs.first_start_s("s") < 20.0
+    assert fleet.runs.stops["s"] == 0
+
+
 # Guards against an urgent job that waits for a less urgent reservation.
 def test_a_reservation_does_not_bind_more_urgent_jobs() -> None:
     fleet = _WaitingWideTask({"u": LONG_S})
