Keep what stops free closed to units that were held back for long

A claim on what the stops of backfilled units free counted as a reservation. A unit that the same job had held back for longer than its target was exempt from it, got the capacity if it came first in the order, and was stopped again, while the claiming job never started. Exemptions no longer apply to claims. The new test was given the claimed capacity before the change.

--- a/pimentobridge/core/scheduling/backfill.py
+++ b/pimentobridge/core/scheduling/backfill.py
@@ -179,10 +179,14 @@
         """Returns whether a reservation has held a job back for too long.
 
         A reservation whose time passes without capacity, as estimates are
-        wrong, would hold back others of its priority for ever.
+        wrong, would hold back others of its priority for ever. What stops have
+        freed for a job stays closed: a unit that got it would be stopped for
+        the same job again.
         """
         if hold.priority != tracked.job.queue.priority:
             return False
+        if hold.job in self._claims_by_job:
+            return False
         since_s = self._held_back_s.get((tracked.id, hold.job))
         return since_s is not None and (
             now_s - since_s > ranking.promised_s(tracked)
--- a/tests/test_backfill.py
+++ b/tests/test_backfill.py
@@ -9,6 +9,7 @@
 from pimentobridge.core.scheduling import backfill
 from pimentobridge.core.scheduling import holds
 from pimentobridge.core.scheduling import placement
+from pimentobridge.core.scheduling import reclaim
 from pimentobridge.testing import engine_harness
 from pimentobridge.testing import virtual_runs
 
@@ -133,6 +134,46 @@
     assert fleet.runs.stops["s"] == 0
 
 
+# Guards against units that are started and stopped again and again, while the
+# job that they are stopped for never starts: what a reservation has held back
+# for too long may use it, but not what a stop has just freed.
+def test_what_a_stop_frees_is_closed_to_what_was_held_back_for_long() -> None:
+    harness = engine_harness.EngineHarness(1)
+    small = _tasks("b", 1.0, checkpointing=True)
+    wide = engine_harness.job(
+        "w" * 16, model.Step(1, engine_harness.WORKER, LONG_S)
+    )
+    harness.submit(small, wide)
+    tracked, owner = (
+        harness.engine.jobs_by_id[job.id] for job in (small, wide)
+    )
+    ((key, worker),) = harness.engine.workers_by_incarnation.items()
+    (entry,) = worker.entries_by_key.values()
+    entry.backfilled_for = wide.id
+    (incarnation,) = harness.incarnations
+    decisions = backfill.Backfill(lambda *_, **__: None)
+    demand = _demand(1.0, checkpointing=True)
+
+    def placed(now_s: float, *, reserved: bool) -> backfill.Placed | None:
+        candidates = placement.Candidates([worker])
+        candidates.free_by_key[key] = incarnation.capacity
+        held = holds.Holds(candidates)
+        decisions.start_pass(held, {small.id, wide.id})
+        held.apply_to(1, guaranteed=False)
+        if reserved:
+            hold = holds.Hold(wide.id, 1, [key], engine_harness.WORKER, 0.0)
+            held.reserve(hold, engine_harness.SERVICE)
+        return decisions.place(candidates, held, tracked, demand, now_s)
+
+    assert placed(0.0, reserved=True) is None
+    assert placed(100.0, reserved=True) == backfill.Placed([key], wide.id)
+    victim = reclaim.Victim(entry.unit)
+    victim.entries.append((worker, entry))
+    wide_demand = placement.Demand(owner.step_of(0), 1, engine_harness.SERVICE)
+    decisions.on_stopped([victim], owner, wide_demand, [key])
+    assert placed(101.0, reserved=False) is None
+
+
 # Guards against an urgent job that waits for a less urgent reservation.
 def test_a_reservation_does_not_bind_more_urgent_jobs() -> None:
     fleet = _WaitingWideTask({"u": LONG_S})
