Seek room for the tasks of an evacuated step once in a pass

Each task with checkpoints in an evacuated data centre searched the whole fleet in each pass, also after another one of its step had found no room. As for departing workers, the others are left out now, except for those that avoid workers of their own. In the new test a pass searched 8 times for 8 tasks, and searches once now.

--- a/pimentobridge/core/scheduling/data_centre_evacuation.py
+++ b/pimentobridge/core/scheduling/data_centre_evacuation.py
@@ -176,15 +176,21 @@
         log: writes a log line, given an event text and fields.
     """
     considered: set[tuple[object, ...]] = set()
+    # Steps of single tasks of which one hasn't found room; another one has the
+    # same requirements.
+    without_room: set[tuple[object, ...]] = set()
     for worker, entry in _leaving(evacuations, workers_by_incarnation):
-        unit = (*entry.name[:3], entry.unit.first)
-        if unit in considered:
+        step = entry.name[:3]
+        unit = (*step, entry.unit.first)
+        if unit in considered or step in without_room:
             continue
         considered.add(unit)
         demand = demand_of(entry)
         assigned = placement.place(candidates, demand)
         if assigned is None:
             on_no_room(entry, demand)
+            if not (entry.step.gang or demand.crashed_on or demand.failed_on):
+                without_room.add(step)
             continue
         for key in assigned:
             candidates.reserve(key, demand.step.footprint)
--- a/tests/test_data_centre_evacuation.py
+++ b/tests/test_data_centre_evacuation.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
@@ -13,8 +14,12 @@
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
+from pimentobridge.core.scheduling import placement
 from pimentobridge.testing import engine_harness
 
+if TYPE_CHECKING:
+    import pytest
+
 EVACUATED = types.DataCentreName("north-a")
 
 
@@ -158,6 +163,30 @@
     assert len(harness.observe(0, running=running).stops) == 1
 
 
+# Guards against passes that search the whole fleet again for each of the many
+# tasks that a full fleet has no room for.
+def test_room_for_the_tasks_of_a_step_is_sought_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = _harness(1)
+    step = model.Step(8, engine_harness.GPU, 30.0, checkpointing=True)
+    orders = harness.submit(engine_harness.job("a" * 16, step))
+    keys = [key for _, key in engine_harness.started(orders)]
+    harness.observe(0, running=engine_harness.running(*keys))
+    _evacuate(harness)
+    searches = 0
+    place = placement.place
+
+    def counted(*args: Any, **kwargs: Any) -> Any:
+        nonlocal searches
+        searches += 1
+        return place(*args, **kwargs)
+
+    monkeypatch.setattr(placement, "place", counted)
+    harness.plan()
+    assert searches == 1
+
+
 def test_a_data_centre_without_workers_is_logged_once() -> None:
     harness = engine_harness.EngineHarness(1)
     event = "evacuated data centre has no workers"
