Hold room for runs that leave an evacuated data centre

The room that justified the stop of such a run wasn't held while it was being stopped, as it is for runs on departing workers, so that a less urgent job could take it and the run waited. It is held in the same way now. In the new test, before the change, a task of priority 2 started in the room of a run of priority 1.

--- a/pimentobridge/core/scheduling/data_centre_evacuation.py
+++ b/pimentobridge/core/scheduling/data_centre_evacuation.py
@@ -158,6 +158,7 @@
     candidates: placement.Candidates,
     *,
     demand_of: Callable[[ledger.RunEntry], placement.Demand],
+    on_moved: Callable[[ledger.RunEntry, list[runs.IncarnationKey]], None],
     on_no_room: Callable[[ledger.RunEntry, placement.Demand], None],
     log: Callable[..., None],
 ) -> None:
@@ -172,6 +173,8 @@
         candidates: the workers that accept tasks, with what the pass has left
             of their resources.
         demand_of: returns the requirements of the unit of a run.
+        on_moved: called with a run that is stopped, and a worker for each of
+            its members.
         on_no_room: called with a run that fits nowhere, and its requirements.
         log: writes a log line, given an event text and fields.
     """
@@ -194,6 +197,8 @@
             continue
         for key in assigned:
             candidates.reserve(key, demand.step.footprint)
+        if not _is_stopping(entry):
+            on_moved(entry, assigned)
         members = gangs.members_of(entry, workers_by_incarnation)
         _stop(members, "run moved", worker, log)
 
--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/evacuation.py
@@ -129,6 +129,25 @@
                 self._log_run("run stays", run, verdict, run.first)
         self._stays_by_key = verdicts_by_key
 
+    def hold_for(
+        self, first: ledger.RunEntry, assigned: list[runs.IncarnationKey]
+    ) -> None:
+        """Holds room for a run that is being moved, from the next pass on.
+
+        Args:
+            first: any member of the run.
+            assigned: a worker for each member.
+        """
+        hold = holds.Hold(
+            first.tracked.id,
+            first.tracked.job.queue.priority,
+            assigned,
+            first.step.footprint,
+            fits_in_s=0.0,
+        )
+        until_s = self._clock.monotonic() + MAX_HOLD_S
+        self._moves.append(_Move(first.unit, first.run, hold, until_s))
+
     def gauges(self) -> dict[str, float]:
         """Returns the gauges by metric name."""
         return {"runs_moved": self._runs_moved}
@@ -216,21 +235,7 @@
         if assigned is None:
             return
         room.reserve(run, assigned)
-        priority = run.first.tracked.job.queue.priority
-        self._moves.append(
-            _Move(
-                run.first.unit,
-                run.first.run,
-                holds.Hold(
-                    run.first.tracked.id,
-                    priority,
-                    assigned,
-                    run.step.footprint,
-                    fits_in_s=0.0,
-                ),
-                self._clock.monotonic() + MAX_HOLD_S,
-            )
-        )
+        self.hold_for(run.first, assigned)
 
     def _request_next_pass(
         self, run: move_verdicts.DepartingRun, now_s: float
--- a/tests/test_data_centre_evacuation.py
+++ b/tests/test_data_centre_evacuation.py
@@ -14,6 +14,7 @@
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import placement
 from pimentobridge.testing import engine_harness
 
@@ -187,6 +188,31 @@
     assert searches == 1
 
 
+# Guards against runs that are stopped and then wait, because less urgent work
+# takes the room elsewhere during the stop.
+def test_room_for_a_migrated_run_is_held_from_less_urgent_jobs() -> None:
+    harness = _harness(1)
+    job = _job("a", checkpointing=True)
+    ((_, key),) = engine_harness.started(harness.submit(job))
+    running = engine_harness.running(key)
+    harness.observe(0, running=running)
+    harness.incarnations.append(harness.incarnation(1))
+    harness.observe(1)
+    _evacuate(harness)
+    harness.plan()
+    assert harness.observe(0, running=running).stops == (key,)
+    batch = engine_harness.job(
+        "b" * 16, model.Step(1, engine_harness.WORKER, 30.0), priority=2
+    )
+    harness.engine.put_job(batch)
+    harness.plan()
+    harness.record()
+    harness.observe(0, ended=engine_harness.ended(key, runs.EndCause.STOPPED))
+    harness.plan()
+    harness.record()
+    assert [start.key.task for start in harness.observe(1).starts] == [key.task]
+
+
 def test_a_data_centre_without_workers_is_logged_once() -> None:
     harness = engine_harness.EngineHarness(1)
     event = "evacuated data centre has no workers"
