Bound what is known of drains

The latest drain of each version was kept for ever, and while the replacement of a service's workers is known, its drains and joins were kept until the end, which doesn't come while workers leave and join all the time. Both are limited to the window in which they count.

--- a/pimentobridge/core/scheduling/departures.py
+++ b/pimentobridge/core/scheduling/departures.py
@@ -325,11 +325,15 @@
         now_s = self._clock.monotonic()
         newest = self._newest_versions()
         earlier = self._updated_until_s
+        self._latest_drain_by_version = {
+            version: drain
+            for version, drain in self._latest_drain_by_version.items()
+            if drain.began_s + UPDATE_WINDOW_S > now_s
+        }
         self._updated_until_s = {
             version: drain.began_s + UPDATE_WINDOW_S
             for version, drain in self._latest_drain_by_version.items()
-            if drain.began_s + UPDATE_WINDOW_S > now_s
-            and newest.get(version.service, version) != version
+            if newest.get(version.service, version) != version
         }
         for version in sorted(self._updated_until_s.keys() - earlier.keys()):
             self._log(
--- a/pimentobridge/core/scheduling/replacements.py
+++ b/pimentobridge/core/scheduling/replacements.py
@@ -98,11 +98,12 @@
 
     def _infer(self, service: str, now_s: float) -> None:
         state = self._services_by_name[service]
-        if self.replaced_before_s(service, now_s) is not None:
-            # The first replacements stay known until the end.
-            return
+        known = self.replaced_before_s(service, now_s) is not None
         _drop_before(state.drains_s, now_s - WINDOW_S)
         _drop_before(state.joins_s, now_s - WINDOW_S - JOIN_LEAD_S)
+        if known:
+            # The first replacements stay known until the end.
+            return
         if min(len(state.drains_s), len(state.joins_s)) >= MIN_WORKERS:
             state.replaced_before_s = state.joins_s[0]
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 import json
 from typing import Any
 
@@ -12,6 +14,7 @@
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import departures
+from pimentobridge.core.scheduling import replacements
 from pimentobridge.platform import heartbeats
 from pimentobridge.testing import engine_harness
 
@@ -134,6 +137,41 @@
     assert gauges()["workers_expected_to_depart"] == 0
 
 
+# Guards against state that grows for days: with each version that workers have
+# had, and with each drain while workers leave and join all the time.
+@pytest.mark.parametrize("interval_s", [1.0, departures.UPDATE_WINDOW_S])
+def test_what_is_known_of_drains_does_not_grow(interval_s: float) -> None:
+    harness = _fleet("v0")
+    known = harness.engine.departures
+
+    def replace_all(times: int) -> int:
+        for _ in range(times):
+            _drain(harness, 0)
+            harness.clock.advance(interval_s)
+            started_ms = harness.incarnations[0].key.started_ms + 1
+            harness.incarnations[0] = msgspec.structs.replace(
+                harness.incarnation(0, started_ms), version=f"v{started_ms}"
+            )
+            harness.observe(0)
+        return _count_values(vars(known))
+
+    early = replace_all(30)
+    assert replace_all(100) == early
+
+
+def _count_values(value: object) -> int:
+    """Returns the number of values in containers and the objects they hold."""
+    if isinstance(value, dict):
+        return sum(map(_count_values, value.values()))
+    if isinstance(value, list | tuple | collections.deque):
+        return sum(map(_count_values, value))
+    if isinstance(value, replacements.Replacements):
+        return _count_values(vars(value))
+    if dataclasses.is_dataclass(value):
+        return _count_values(vars(value))
+    return 1
+
+
 # Guards against an update that is inferred only for workers that begin to drain
 # after the first new worker is up.
 def test_a_new_version_is_noticed_after_a_drain() -> None:
