Don't withdraw what runs after an error in a report

Once an error has ended the processing of a worker's report, the list of its running tasks isn't updated. In an evacuated data centre all tasks that it lacked counted as not started and were stopped, also those of services beyond mayMiss. What such a worker lists is added to the running tasks now. In the new test both tasks of a service with mayMiss 1 were stopped before.

--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -254,7 +254,9 @@
             self.on_answered(agent)
             key = observation.incarnation.key
             if key in self.workers_by_incarnation:
-                self.workers_by_incarnation[key].distrusted = True
+                worker = self.workers_by_incarnation[key]
+                worker.distrusted = True
+                worker.add_listed(observation.running)
             raise
 
     def _process_report(
@@ -269,7 +271,9 @@
         worker.reachable = observation.reachable
         worker.agent_state = observation.agent_state
         self.departures.on_report(worker)
-        if not worker.distrusted:
+        if worker.distrusted:
+            worker.add_listed(observation.running)
+        else:
             self._apply_reported_runs(worker, observation)
         self.evacuations.stop_unstarted(worker, self.workers_by_incarnation)
         if not worker.reachable:
--- a/pimentobridge/core/scheduling/fleet.py
+++ b/pimentobridge/core/scheduling/fleet.py
@@ -12,6 +12,8 @@
 from pimentobridge.core.scheduling import throttling
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from pimentobridge.core import types
     from pimentobridge.core.scheduling import kinds
     from pimentobridge.core.scheduling import ledger
@@ -133,6 +135,14 @@
         self.untracked_by_key = untracked
         self.used += model.total(untracked.values())
 
+    def add_listed(self, running: Iterable[runs.RunningTask]) -> None:
+        """Notes runs that have started, after an error in processing reports.
+
+        Their ends aren't processed any more, so earlier ones stay: none is
+        ordered to start again.
+        """
+        self.running_keys |= {task.key for task in running}
+
     def takes_tasks(self, now_s: float) -> bool:
         """Returns whether new tasks may be placed on the worker."""
         return (
--- a/tests/test_data_centre_evacuation.py
+++ b/tests/test_data_centre_evacuation.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
+import pytest
 
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
@@ -18,9 +18,6 @@
 from pimentobridge.core.scheduling import placement
 from pimentobridge.testing import engine_harness
 
-if TYPE_CHECKING:
-    import pytest
-
 EVACUATED = types.DataCentreName("north-a")
 
 
@@ -84,6 +81,29 @@
     assert len(instructions.stops) == 1
 
 
+# Guards against stops of all tasks of a service, which count as not started if
+# an error has ended the processing of their worker's report.
+def test_what_runs_is_not_withdrawn_after_an_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = _harness(1)
+    service = model.Step(
+        2, engine_harness.GPU, long_running=True, max_unavailable=1
+    )
+    orders = harness.submit(engine_harness.job("a" * 16, service))
+    keys = [key for _, key in engine_harness.started(orders)]
+    running = engine_harness.running(*keys)
+
+    def fail(*_: object) -> None:
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(harness.engine, "_update_running", fail)
+    with pytest.raises(RuntimeError, match="unexpected"):
+        harness.observe(0, running=running)
+    _evacuate(harness)
+    assert not harness.observe(0, running=running).stops
+
+
 def test_a_gang_is_withdrawn_as_a_whole() -> None:
     harness = _harness(2)
     gang = _job("a", 2, gang=True)
