Don't migrate gangs to workers that are replaced next

Gangs that leave an evacuated data centre went to workers that were expected to depart if there was no other room, and were moved again from there. They stay where they are now, as gangs on departing workers do. The new test saw the gang stopped during the rolling update before; now it is moved after it.

--- a/pimentobridge/core/scheduling/data_centre_evacuation.py
+++ b/pimentobridge/core/scheduling/data_centre_evacuation.py
@@ -158,6 +158,7 @@
     candidates: placement.Candidates,
     *,
     demand_of: Callable[[ledger.RunEntry], placement.Demand],
+    is_unfit: Callable[[fleet.TrackedWorker, placement.Demand], bool],
     on_moved: Callable[[ledger.RunEntry, list[runs.IncarnationKey]], None],
     on_no_room: Callable[[ledger.RunEntry, placement.Demand], None],
     log: Callable[..., None],
@@ -173,6 +174,7 @@
         candidates: the workers that accept tasks, with what the pass has left
             of their resources.
         demand_of: returns the requirements of the unit of a run.
+        is_unfit: returns whether a run isn't to be moved to a worker.
         on_moved: called with a run that is stopped, and a worker for each of
             its members.
         on_no_room: called with a run that fits nowhere, and its requirements.
@@ -190,7 +192,13 @@
         considered.add(unit)
         demand = demand_of(entry)
         assigned = placement.place(candidates, demand)
-        if assigned is None:
+        if assigned is None or (
+            not _is_stopping(entry)
+            and any(
+                is_unfit(candidates.workers_by_key[key], demand)
+                for key in assigned
+            )
+        ):
             on_no_room(entry, demand)
             if not (entry.step.gang or demand.crashed_on or demand.failed_on):
                 without_room.add(step)
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -206,6 +206,7 @@
             self._engine.workers_by_incarnation,
             candidates,
             demand_of=demand_of,
+            is_unfit=self._engine.departures.is_avoided,
             on_moved=self._engine.evacuation.hold_for,
             on_no_room=on_no_room,
             log=self._log,
--- a/tests/test_data_centre_evacuation.py
+++ b/tests/test_data_centre_evacuation.py
@@ -15,6 +15,7 @@
 from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import departures
 from pimentobridge.core.scheduling import placement
 from pimentobridge.testing import engine_harness
 
@@ -233,6 +234,36 @@
     assert [start.key.task for start in harness.observe(1).starts] == [key.task]
 
 
+# Guards against gangs that are moved twice: during a rolling update, the room
+# elsewhere may be on workers that are replaced next.
+def test_a_gang_is_not_migrated_to_workers_that_are_replaced_next() -> None:
+    harness = _harness(1)
+    harness.incarnations[0] = msgspec.structs.replace(
+        harness.incarnations[0], version="v2"
+    )
+    gang = _job("a", gang=True, checkpointing=True)
+    ((_, key),) = engine_harness.started(harness.submit(gang))
+    running = engine_harness.running(key)
+    for number in (1, 2):
+        older = msgspec.structs.replace(
+            harness.incarnation(number, started_ms=0), version="v1"
+        )
+        harness.incarnations.append(older)
+        harness.observe(number)
+    harness.incarnations[2] = msgspec.structs.replace(
+        harness.incarnations[2], draining=True, leaves_in_s=4.0
+    )
+    harness.observe(0, running=running)
+    harness.observe(2)
+    _evacuate(harness)
+    harness.plan()
+    assert not harness.observe(0, running=running).stops
+    harness.clock.advance(departures.UPDATE_WINDOW_S)
+    harness.observe(1)
+    harness.plan()
+    assert harness.observe(0, running=running).stops == (key,)
+
+
 def test_a_data_centre_without_workers_is_logged_once() -> None:
     harness = engine_harness.EngineHarness(1)
     event = "evacuated data centre has no workers"
