--- a/pimentobridge/core/scheduling/backfill.py
+++ b/pimentobridge/core/scheduling/backfill.py
@@ -179,10 +179,14 @@
         """Returns whether a reservation has held a job back for too long.
 
         A reservation whose time passes without capacity, as estimates are
-        wrong, would hold back others of its priority for ever.
+        wrong, would hold back others of its priority for ever. What stops have
+        freed for a job stays closed: a unit that got it would be stopped for
+        the same job again.
         """
         if hold.priority != tracked.job.queue.priority:
             return False
+        if hold.job in self._claims_by_job:
+            return False
         since_s = self._held_back_s.get((tracked.id, hold.job))
         return since_s is not None and (
             now_s - since_s > ranking.promised_s(tracked)
@@ -284,7 +288,8 @@
     """Returns the backfilled units that save checkpoints.
 
     Each is returned by the job in whose reserved capacity it runs. That job may
-    stop it though their priorities are the same.
+    stop it though their priorities are the same. Long-running tasks aren't
+    stopped, as their step limits how many of them may be unavailable.
     """
     victims_by_owner: dict[types.JobId, dict[int, reclaim.Victim]] = {}
     for worker in workers:
@@ -293,6 +298,7 @@
             if (
                 owner is None
                 or not entry.step.checkpointing
+                or entry.step.long_running
                 or entry.stop_requested
                 or not entry.is_current
             ):
--- a/tests/test_data_centre_evacuation.py
+++ b/tests/test_data_centre_evacuation.py
@@ -9,10 +9,14 @@
 from typing import Any
 
 import msgspec
+import pytest
 
 from pimentobridge.core import types
 from pimentobridge.core.jobs import configuration
 from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import runs
+from pimentobridge.core.scheduling import departures
+from pimentobridge.core.scheduling import placement
 from pimentobridge.testing import engine_harness
 
 EVACUATED = types.DataCentreName("north-a")
@@ -78,6 +82,29 @@
     assert len(instructions.stops) == 1
 
 
+# Guards against stops of all tasks of a service, which count as not started if
+# an error has ended the processing of their worker's report.
+def test_what_runs_is_not_withdrawn_after_an_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = _harness(1)
+    service = model.Step(
+        2, engine_harness.GPU, long_running=True, max_unavailable=1
+    )
+    orders = harness.submit(engine_harness.job("a" * 16, service))
+    keys = [key for _, key in engine_harness.started(orders)]
+    running = engine_harness.running(*keys)
+
+    def fail(*_: object) -> None:
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(harness.engine, "_update_running", fail)
+    with pytest.raises(RuntimeError, match="unexpected"):
+        harness.observe(0, running=running)
+    _evacuate(harness)
+    assert not harness.observe(0, running=running).stops
+
+
 def test_a_gang_is_withdrawn_as_a_whole() -> None:
     harness = _harness(2)
     gang = _job("a", 2, gang=True)
@@ -158,6 +185,85 @@
     assert len(harness.observe(0, running=running).stops) == 1
 
 
+# Guards against passes that search the whole fleet again for each of the many
+# tasks that a full fleet has no room for.
+def test_room_for_the_tasks_of_a_step_is_sought_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = _harness(1)
+    step = model.Step(8, engine_harness.GPU, 30.0, checkpointing=True)
+    orders = harness.submit(engine_harness.job("a" * 16, step))
+    keys = [key for _, key in engine_harness.started(orders)]
+    harness.observe(0, running=engine_harness.running(*keys))
+    _evacuate(harness)
+    searches = 0
+    place = placement.place
+
+    def counted(*args: Any, **kwargs: Any) -> Any:
+        nonlocal searches
+        searches += 1
+        return place(*args, **kwargs)
+
+    monkeypatch.setattr(placement, "place", counted)
+    harness.plan()
+    assert searches == 1
+
+
+# Guards against runs that are stopped and then wait, because less urgent work
+# takes the room elsewhere during the stop.
+def test_room_for_a_migrated_run_is_held_from_less_urgent_jobs() -> None:
+    harness = _harness(1)
+    job = _job("a", checkpointing=True)
+    ((_, key),) = engine_harness.started(harness.submit(job))
+    running = engine_harness.running(key)
+    harness.observe(0, running=running)
+    harness.incarnations.append(harness.incarnation(1))
+    harness.observe(1)
+    _evacuate(harness)
+    harness.plan()
+    assert harness.observe(0, running=running).stops == (key,)
+    batch = engine_harness.job(
+        "b" * 16, model.Step(1, engine_harness.WORKER, 30.0), priority=2
+    )
+    harness.engine.put_job(batch)
+    harness.plan()
+    harness.record()
+    harness.observe(0, ended=engine_harness.ended(key, runs.EndCause.STOPPED))
+    harness.plan()
+    harness.record()
+    assert [start.key.task for start in harness.observe(1).starts] == [key.task]
+
+
+# Guards against gangs that are moved twice: during a rolling update, the room
+# elsewhere may be on workers that are replaced next.
+def test_a_gang_is_not_migrated_to_workers_that_are_replaced_next() -> None:
+    harness = _harness(1)
+    harness.incarnations[0] = msgspec.structs.replace(
+        harness.incarnations[0], version="v2"
+    )
+    gang = _job("a", gang=True, checkpointing=True)
+    ((_, key),) = engine_harness.started(harness.submit(gang))
+    running = engine_harness.running(key)
+    for number in (1, 2):
+        older = msgspec.structs.replace(
+            harness.incarnation(number, started_ms=0), version="v1"
+        )
+        harness.incarnations.append(older)
+        harness.observe(number)
+    harness.incarnations[2] = msgspec.structs.replace(
+        harness.incarnations[2], draining=True, leaves_in_s=4.0
+    )
+    harness.observe(0, running=running)
+    harness.observe(2)
+    _evacuate(harness)
+    harness.plan()
+    assert not harness.observe(0, running=running).stops
+    harness.clock.advance(departures.UPDATE_WINDOW_S)
+    harness.observe(1)
+    harness.plan()
+    assert harness.observe(0, running=running).stops == (key,)
+
+
 def test_a_data_centre_without_workers_is_logged_once() -> None:
     harness = engine_harness.EngineHarness(1)
     event = "evacuated data centre has no workers"
