--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -18,13 +18,13 @@
 from pimentobridge.core.scheduling import data_centre_evacuation
 from pimentobridge.core.scheduling import departures
 from pimentobridge.core.scheduling import durations as durations_lib
-from pimentobridge.core.scheduling import evacuation
 from pimentobridge.core.scheduling import fleet
 from pimentobridge.core.scheduling import gangs
 from pimentobridge.core.scheduling import interference as interference_lib
 from pimentobridge.core.scheduling import lease_expiry
 from pimentobridge.core.scheduling import ledger
 from pimentobridge.core.scheduling import lost_work
+from pimentobridge.core.scheduling import migration
 from pimentobridge.core.scheduling import pass_requests
 from pimentobridge.core.scheduling import run_ends
 from pimentobridge.core.scheduling import speeds as speeds_lib
@@ -70,7 +70,7 @@
         evacuations: the data centres in which nothing may start.
         incomplete: an error has ended the processing of a worker's report.
         departures: workers that depart or are expected to.
-        evacuation: moves runs off departing workers.
+        migration: moves runs off departing workers.
         lost_work: counters of the work that runs have lost.
         durations: expected run times of tasks.
         speeds: speeds of the workers.
@@ -109,7 +109,7 @@
         self.departures = departures.Departures(
             self.workers_by_incarnation, clock=clock, log=log
         )
-        self.evacuation = evacuation.Evacuation(
+        self.migration = migration.Migration(
             self.workers_by_incarnation,
             self.departures,
             self.passes,
--- a/pimentobridge/core/scheduling/evacuation.py
+++ b/pimentobridge/core/scheduling/migration.py
@@ -51,7 +51,7 @@
     until_s: float
 
 
-class Evacuation:
+class Migration:
     """Decides which runs are moved off departing workers, and when.
 
     Args:
--- a/pimentobridge/core/scheduling/planner.py
+++ b/pimentobridge/core/scheduling/planner.py
@@ -128,7 +128,7 @@
                 engine.incomplete = True
                 current.turns.finish(tracked)
         with self._contain("moving runs off departing workers") as error:
-            engine.evacuation.run(current.candidates, self._demand)
+            engine.migration.run(current.candidates, self._demand)
         engine.incomplete |= error.occurred
         with self._contain("evacuating data centres") as error:
             self._migrate_evacuated(current.candidates, now_s)
@@ -190,7 +190,7 @@
             ends=holds.ExpectedEnds(candidates, now_s),
             now_s=now_s,
         )
-        engine.evacuation.hold_room(current.held, candidates)
+        engine.migration.hold_room(current.held, candidates)
         return current
 
     def _migrate_evacuated(
@@ -214,7 +214,7 @@
             candidates,
             demand_of=demand_of,
             is_unfit=self._engine.departures.is_avoided,
-            on_moved=self._engine.evacuation.hold_for,
+            on_moved=self._engine.migration.hold_for,
             on_no_room=on_no_room,
             log=self._log,
         )
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -350,7 +350,7 @@
             "runs": sum(len(worker.entries_by_key) for worker in registered),
             "unrecorded_jobs": len(engine.dirty_by_id),
             **engine.departures.gauges(),
-            **engine.evacuation.gauges(),
+            **engine.migration.gauges(),
             **engine.lost_work.gauges(),
             **engine.speeds.gauges(),
             **engine.interference.gauges(),
--- a/tests/test_evacuation.py
+++ b/tests/test_migration.py
@@ -253,7 +253,7 @@
         )
     started = engine_harness.started(harness.submit())
     assert {(number, key.run) for number, key in started} == {(2, 2), (3, 2)}
-    assert harness.engine.evacuation.gauges() == {"runs_moved": 2}
+    assert harness.engine.migration.gauges() == {"runs_moved": 2}
 
 
 # Guards against gangs that are moved from worker to worker through a rolling
