Report refused and stopped runs only after a list of all ends

Cause: a runner lists 500 ends at a time. The agent took such a part for all ends, so that a run whose end was left out, and whose repeated start the runner answered with 'old', counted as one that had never started. Fix: a response with 500 ends counts as a part. Refused and stopped runs are put aside until a later list holds all ends. The same for late starts on a new incarnation, for the blame for crashes, and for agents that are told to stop.

--- a/pimentobridge/daemons/run_orders.py
+++ b/pimentobridge/daemons/run_orders.py
@@ -101,11 +101,15 @@
         ordered = {order.key for order in instructions.starts}
         ordered |= set(instructions.stops)
         self._agent.view.keep_answers_to(ordered)
+        view = self._agent.view
         for order in instructions.starts:
-            if order.key not in self._agent.view.refused:
-                self._spawn_order("start", order.key, self._start_run, order)
+            key = order.key
+            if key not in view.refused and not view.closed_runs.is_refused(key):
+                self._spawn_order("start", key, self._start_run, order)
         for key in instructions.stops:
-            if key not in self._agent.view.stop_confirmed:
+            if key not in view.stop_confirmed and (
+                not view.closed_runs.is_stopped(key)
+            ):
                 self._spawn_order("stop", key, self._stop_run, key)
         self._paces_by_run = {order.key: order for order in instructions.paces}
         for key in self._paces_by_run:
@@ -179,23 +183,24 @@
                 self._agent.wake_poll()
                 return
             if outcome is runner_lib.StartResult.RUN_ENDED:
-                await self._report_refusal(incarnation, order.key)
+                await self._on_refused(incarnation, order.key)
                 return
             if outcome in runner_lib.REFUSALS:
                 # An earlier start without an answer may still take effect. A
                 # stop makes the worker refuse the run from then on.
                 if await self._stop_permanently(incarnation, order.key):
-                    await self._report_refusal(incarnation, order.key)
+                    await self._on_refused(incarnation, order.key)
                 return
             await trio.sleep(ORDER_RETRY_PAUSE_S)
 
-    async def _report_refusal(
+    async def _on_refused(
         self, incarnation: runs.IncarnationKey, key: runs.RunKey
     ) -> None:
-        """Reports a refusal, after a poll for the run's end if it has ended."""
-        if await self._agent.poll(0.0) and self._agent.is_current(incarnation):
-            self._agent.view.refused.add(key)
-            self._agent.wake_report()
+        """Polls for the run's end, without which no refusal is reported."""
+        if not self._agent.is_current(incarnation):
+            return
+        self._agent.view.closed_runs.on_refused(key, self._clock.monotonic())
+        await self._agent.poll(0.0)
 
     async def _stop_run(self, key: runs.RunKey) -> None:
         if self._agent.worker is None:
@@ -203,10 +208,11 @@
         incarnation = self._agent.worker.key
         if not await self._stop_permanently(incarnation, key):
             return
+        if not self._agent.is_current(incarnation):
+            return
         self._started_runs.on_over([key])
-        if await self._agent.poll(0.0) and self._agent.is_current(incarnation):
-            self._agent.view.stop_confirmed.add(key)
-            self._agent.wake_report()
+        self._agent.view.closed_runs.on_stopped(key, self._clock.monotonic())
+        await self._agent.poll(0.0)
 
     async def _stop_permanently(
         self, incarnation: runs.IncarnationKey, key: runs.RunKey
@@ -340,5 +346,6 @@
         return (
             answered
             and self._agent.is_current(incarnation)
+            and self._agent.view.lists_all_ends
             and not self._agent.view.is_running(run)
         )
--- a/pimentobridge/daemons/worker_agent.py
+++ b/pimentobridge/daemons/worker_agent.py
@@ -449,6 +449,7 @@
         self, status: runner_status.RunnerStatus, sent_s: float
     ) -> None:
         self._started_runs.on_over(end.key for end in status.ended)
+        self._started_runs.on_over(self.view.runs_missing_in(status))
         if self.view.apply(status, self._clock.monotonic(), sent_s=sent_s):
             self.wake_report()
 
--- a/pimentobridge/daemons/worker_view.py
+++ b/pimentobridge/daemons/worker_view.py
@@ -7,6 +7,7 @@
 
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import engine
+from pimentobridge.daemons import closed_runs
 from pimentobridge.daemons import expected_ends
 from pimentobridge.daemons import worker_contact
 
@@ -25,10 +26,14 @@
     Attributes:
         running: runs that it listed last as running.
         ended: ends that it listed last and the scheduler hasn't acknowledged.
+        lists_all_ends: whether it listed all ends last. Otherwise, a run that
+            isn't listed may have ended.
         refused: runs that it will never start.
         may_start_late: runs of the incarnation before that it may start or be
             stopping; nothing is reported of it before there are none.
         stop_confirmed: runs that it has stopped and will never start.
+        closed_runs: runs that it has refused or stopped, until a later list
+            shows whether they have ended.
         orders_in_progress: kind and run of the orders being carried out.
         acknowledged_end: number up to which the scheduler has acknowledged the
             ends of runs.
@@ -43,9 +48,11 @@
         self._max_lease_s = max_lease_s
         self.running: tuple[runs.RunningTask, ...] = ()
         self.ended: tuple[runs.EndedRun, ...] = ()
+        self.lists_all_ends = True
         self.refused: set[runs.RunKey] = set()
         self.may_start_late: set[runs.RunKey] = set()
         self.stop_confirmed: set[runs.RunKey] = set()
+        self.closed_runs = closed_runs.ClosedRuns()
         self.orders_in_progress: set[tuple[str, runs.RunKey]] = set()
         self.percent_by_run: dict[runs.RunKey, int] = {}
         self.acknowledged_end = 0
@@ -71,18 +78,32 @@
 
     @property
     def has_unacknowledged_ends(self) -> bool:
-        """Whether an end was listed that the scheduler hasn't acknowledged."""
-        return any(end.number > self.acknowledged_end for end in self.ended)
+        """Whether there is an end that the scheduler hasn't acknowledged."""
+        return not self.lists_all_ends or any(
+            end.number > self.acknowledged_end for end in self.ended
+        )
 
     def keep_answers_to(self, ordered: AbstractSet[runs.RunKey]) -> None:
         """Forgets refusals and stops of runs that no order names any more."""
         self.refused &= ordered
         self.stop_confirmed &= ordered
+        self.closed_runs.keep(ordered)
 
     def is_running(self, run: runs.RunKey) -> bool:
         """Whether the newest list shows a run."""
         return any(task.key == run for task in self.running)
 
+    def runs_missing_in(
+        self, status: runner_status.RunnerStatus
+    ) -> set[runs.RunKey]:
+        """Returns the runs that have ended since the newest list.
+
+        A later list may leave their ends out, but shows all that is running.
+        """
+        return {task.key for task in self.running} - {
+            task.key for task in status.running
+        }
+
     def is_outdated(
         self, status: runner_status.RunnerStatus, *, sent_s: float
     ) -> bool:
@@ -126,7 +147,9 @@
             != {task.key for task in self.running}
         )
         self.running, self.ended = status.running, ended
+        self.lists_all_ends = status.lists_all_ends
         listed = {task.key for task in status.running}
+        changed |= self._report_closed_runs(listed, sent_s)
         self.percent_by_run = {
             key: percent
             for key, percent in self.percent_by_run.items()
@@ -135,6 +158,25 @@
         self.expected_ends.on_running(status.running, now_s)
         return regained or changed
 
+    def _report_closed_runs(
+        self, listed: AbstractSet[runs.RunKey], sent_s: float
+    ) -> bool:
+        """Reports refused and stopped runs of which all is known by now.
+
+        Args:
+            listed: the runs that the newest list shows as running.
+            sent_s: monotonic time at which it was asked for, in seconds.
+
+        Returns:
+            Whether there are any.
+        """
+        if not self.lists_all_ends:
+            return False
+        refused, stopped = self.closed_runs.take_before(sent_s, listed)
+        self.refused |= refused
+        self.stop_confirmed |= stopped
+        return bool(refused or stopped)
+
     def observation(
         self,
         incarnation: runs.WorkerIncarnation,
--- a/pimentobridge/platform/runner_status.py
+++ b/pimentobridge/platform/runner_status.py
@@ -14,6 +14,9 @@
 # The figure of a run is rough, and rounded up to this many digits. Rounded
 # down, a latency just over its target would count as within it.
 METRIC_DIGITS = 3
+# Limit on the ends in one response; the runner lists the others once these are
+# acknowledged.
+MAX_ENDS_LISTED = 500
 
 
 class RunnerStatus(msgspec.Struct, frozen=True):
@@ -22,13 +25,19 @@
     Attributes:
         clock_s: the runner's own clock when it responded.
         running: runs that haven't ended.
-        ended: runs that have ended and whose end isn't acknowledged yet.
+        ended: runs that have ended and whose end isn't acknowledged yet, in
+            the order of their ends; the first ones if there are many.
     """
 
     clock_s: float
     running: tuple[runs.RunningTask, ...]
     ended: tuple[runs.EndedRun, ...]
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Whether no end is left out, so that other runs haven't ended."""
+        return len(self.ended) < MAX_ENDS_LISTED
+
 
 class PollFailure(enum.Enum):
     """Why a poll returned no status.
