Refuse jobs whose progress the store can't hold, and bound what grows in it

Cause: callers set the size of a job's record, the store refuses values over its limit, and the scheduler repeated the refused write for ever, with the records of other jobs in it. Fix: a job whose record may outgrow the limit is refused with 400; occurrences are opened as there is room; the workers on which a task has failed are the latest eight; a stored job that is too large all the same fails by itself. The limit comes from platform.valueBytes.

--- a/pimentobridge/core/jobs/progress.py
+++ b/pimentobridge/core/jobs/progress.py
@@ -15,6 +15,10 @@
     from collections.abc import Iterator
 
 
+# Limit of the remembered workers on which a task has failed.
+MAX_WORKERS_FAILED_ON = 8
+
+
 class JobState(enum.Enum):
     """State of a job as reported to callers."""
 
@@ -80,7 +84,7 @@
             counts once, however many of its members fail.
         crashed_on_by_member: agents of the machines on which the worker
             crashed under a member, one for each crash.
-        failed_on: workers on which a run has failed.
+        failed_on: workers on which a run has failed, the latest last.
     """
 
     first: int
@@ -103,6 +107,16 @@
             for machine in machines
         }
 
+    def note_failure_on(self, worker: types.WorkerId) -> None:
+        """Notes that a run has failed on a worker, and forgets old failures.
+
+        A task that lasts may fail any number of times.
+        """
+        if worker in self.failed_on:
+            self.failed_on.remove(worker)
+        self.failed_on.append(worker)
+        del self.failed_on[:-MAX_WORKERS_FAILED_ON]
+
     def requeue_if_released(self) -> None:
         """Puts the unit back to waiting once no member can still execute."""
         if self.status is UnitStatus.ENDING and all(
--- a/pimentobridge/core/scheduling/engine.py
+++ b/pimentobridge/core/scheduling/engine.py
@@ -235,6 +235,25 @@
         self.mark_changed(tracked)
         self._log("job ended", job=tracked.id, state=state.value)
 
+    def fail_unrecordable(
+        self, tracked: ledger.TrackedJob, *, record_bytes: int
+    ) -> None:
+        """Ends a job whose progress is larger than the store can hold.
+
+        No task of it could start or end any more.
+
+        Args:
+            tracked: the job.
+            record_bytes: size of its record.
+        """
+        self._log(
+            "job can't be recorded", job=tracked.id, record_bytes=record_bytes
+        )
+        if not tracked.state.ended:
+            self._end_job(tracked, progress_lib.JobState.FAILED)
+        # The workers list what still runs, and are ordered to stop it.
+        tracked.progress.occurrences_by_number = {}
+
     # Workers.
 
     def observe(
--- a/pimentobridge/core/scheduling/run_ends.py
+++ b/pimentobridge/core/scheduling/run_ends.py
@@ -120,7 +120,7 @@
         self, worker: fleet.TrackedWorker, entry: ledger.RunEntry
     ) -> None:
         unit = entry.unit
-        unit.failed_on.append(worker.key.worker)
+        unit.note_failure_on(worker.key.worker)
         if worker.health.on_failed(entry.tracked.id, self._clock.monotonic()):
             self._log(
                 "worker ejected",
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -181,10 +181,10 @@
             logs.event("job invalid", job=job_id, why=decoded.err_value.detail)
             return _error(400, str(decoded.err_value))
         job = decoded.ok_value
-        problem = self._entry.capacity_problem(job)
+        problem = self._entry.size_problem(job)
         if problem:
             logs.event(
-                "job fits no fleet",
+                "job too large",
                 job=job_id,
                 asks=_asked_by(job),
                 why=problem,
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -9,6 +9,7 @@
 
 from pimentobridge.core import decoding
 from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.core.jobs import record_size
 from pimentobridge.daemons import configuration_follower
 from pimentobridge.daemons import containment
 from pimentobridge.daemons import evacuation_watch
@@ -234,11 +235,17 @@
         """Returns whether an earlier request may have submitted a job."""
         return self._writer.may_be_written(job_id)
 
-    def capacity_problem(self, job: model.Job) -> str:
-        """Returns why no fleet known so far could run a job, or no text."""
+    def size_problem(self, job: model.Job) -> str:
+        """Returns why a job could never run, by its size, or no text."""
         if keys.job(job.id) in self.mirror.items_by_key:
             # An earlier call was accepted.
             return ""
+        return record_size.problem_in(
+            job, self.settings.max_value_bytes
+        ) or self._capacity_problem(job)
+
+    def _capacity_problem(self, job: model.Job) -> str:
+        """Returns why no fleet known so far could run a job, or no text."""
         if self.configuration is None:
             return ""
         service = self.configuration.services_by_name.get(job.queue.service)
--- a/pimentobridge/daemons/recorder.py
+++ b/pimentobridge/daemons/recorder.py
@@ -9,6 +9,7 @@
 import trio
 
 from pimentobridge.core.jobs import progress as progress_lib
+from pimentobridge.core.jobs import record_size
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import logs
 from pimentobridge.platform import kv_store
@@ -59,6 +60,7 @@
         engine: holds the jobs to write.
         token: the term's fencing token: revision of the write that acquired
             the leader's key.
+        max_value_bytes: limit of the store on a value.
         on_recorded: called after each write that took effect.
         on_key_lost: called when this entry no longer holds the key.
     """
@@ -71,10 +73,12 @@
         token: int,
         on_recorded: Callable[[], None],
         on_key_lost: Callable[[], None],
+        max_value_bytes: int = record_size.DEFAULT_MAX_BYTES,
     ) -> None:
         self._store = store
         self._engine = engine
         self._token = token
+        self._max_value_bytes = max_value_bytes
         self._on_recorded = on_recorded
         self._on_key_lost = on_key_lost
         self._wake = trio.Event()
@@ -130,13 +134,25 @@
         batch: list[Change] = []
         batch_bytes = 0
         for tracked in waiting[:MAX_JOBS_PER_WRITE]:
-            value = progress_lib.encode_progress(tracked.progress)
+            value = self._encode(tracked)
             batch_bytes += len(value)
             if batch and batch_bytes > MAX_WRITE_BYTES:
                 break
             batch.append(Change(tracked, tracked.changes, value))
         return batch
 
+    def _encode(self, tracked: ledger.TrackedJob) -> bytes:
+        """Returns a job's record; ends the job if the store can't hold it.
+
+        The store would refuse the record for ever, and with it those of the
+        other jobs in the same write.
+        """
+        value = progress_lib.encode_progress(tracked.progress)
+        if len(value) <= self._max_value_bytes:
+            return value
+        self._engine.fail_unrecordable(tracked, record_bytes=len(value))
+        return progress_lib.encode_progress(tracked.progress)
+
     async def _write(self, batch: list[Change]) -> None:
         if not await self._write_batch(batch):
             await trio.sleep(RETRY_PAUSE_S)
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -113,6 +113,7 @@
             store=store,
             engine=self.engine,
             token=self.token,
+            max_value_bytes=settings.max_value_bytes,
             on_recorded=self._send_changed_orders,
             on_key_lost=lambda: leadership.step_down(
                 "this entry no longer holds the key"
@@ -390,7 +391,10 @@
 
     def _open_occurrences(self) -> None:
         occurrences.open_due(
-            self.engine, early_s=self._settings.early_s, clock=self._clock
+            self.engine,
+            early_s=self._settings.early_s,
+            clock=self._clock,
+            max_record_bytes=self._settings.max_value_bytes,
         )
 
     def _place_units(self) -> None:
--- a/pimentobridge/lab/world.py
+++ b/pimentobridge/lab/world.py
@@ -178,6 +178,7 @@
             advice="advice",
             max_lease_s=machines.MAX_LEASE_S,
             link_mbps=self._link_mbps_of(node),
+            max_value_bytes=self.store.max_value_bytes,
         )
 
     def _link_mbps_of(self, node: str) -> float:
--- a/pimentobridge/platform/boot_settings.py
+++ b/pimentobridge/platform/boot_settings.py
@@ -13,6 +13,7 @@
 
 from pimentobridge.core import errors
 from pimentobridge.core import types
+from pimentobridge.core.jobs import record_size
 
 PATH_VARIABLE = "PIMENTOBRIDGE_SETTINGS"
 # Memory and file descriptors of a machine whose settings don't state them.
@@ -47,6 +48,7 @@
         link_mbps: bandwidth of the machine's own link, in Mbit/s.
         memory_mb: memory of the machine, in MiB.
         max_fds: limit on the process's file descriptors.
+        max_value_bytes: limit of the platform's store on a value.
     """
 
     node: types.NodeId
@@ -69,6 +71,7 @@
     link_mbps: float = 1000.0
     memory_mb: float = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
+    max_value_bytes: int = record_size.DEFAULT_MAX_BYTES
 
 
 def path_from_environment() -> pathlib.Path:
@@ -156,4 +159,7 @@
         link_mbps=number("limits.linkMbps", 1000.0),
         memory_mb=number("limits.memoryMb", DEFAULT_MEMORY_MB),
         max_fds=int(number("limits.maxFds", DEFAULT_MAX_FDS)),
+        max_value_bytes=int(
+            number("platform.valueBytes", record_size.DEFAULT_MAX_BYTES)
+        ),
     )
--- a/pimentobridge/testing/platform_store.py
+++ b/pimentobridge/testing/platform_store.py
@@ -19,6 +19,7 @@
 MAX_PAGE_ITEMS = 500
 MAX_TRANSACTION_ENTRIES = 32
 INITIAL_REVISION = 9
+MAX_VALUE_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass
@@ -35,6 +36,7 @@
 
     Attributes:
         lease_expiry_paused: whether expired leases are kept, with their keys.
+        max_value_bytes: limit on a value in a transaction.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -47,6 +49,7 @@
         self._last_lease_id = 1000
         self._changed = trio.Event()
         self.lease_expiry_paused = False
+        self.max_value_bytes = MAX_VALUE_BYTES
         self.acknowledged: list[tuple[str, float]] = []
 
     @property
@@ -145,11 +148,17 @@
             200, {"events": events, "storeRevision": self._revision}
         )
 
+    def _is_too_large(self, encoded: str) -> bool:
+        padding = len(encoded) - len(encoded.rstrip("="))
+        return len(encoded) * 3 // 4 - padding > self.max_value_bytes
+
     def _transact(self, body: dict[str, Any]) -> http_client.Answer:
         expected, puts = body["expected"], body["puts"]
         deletes = body.get("deletes", [])
         if len(expected) + len(puts) + len(deletes) > MAX_TRANSACTION_ENTRIES:
             return http_client.Answer(400, {})
+        if any(self._is_too_large(row["value"]) for row in puts):
+            return http_client.Answer(400, {})
         if any(
             self._revision_of(row["key"]) != row["revision"] for row in expected
         ):
