Keep a cancelled job from being stored after its cancel was answered

Cause: a cancel that found no job in the store left nothing there, so that a submission held up in a suspended entry, or carried out late by the store, was stored afterwards. Fix: such a cancel writes a tombstone under the job's key, if that is absent, before it answers 410. A submission that comes later is answered 410 and stored nowhere; one that came first is cancelled. Tombstones are deleted like ended jobs, and limited.

--- a/pimentobridge/core/jobs/model.py
+++ b/pimentobridge/core/jobs/model.py
@@ -180,6 +180,20 @@
     cancelled: bool = False
 
 
+class Tombstone(msgspec.Struct, frozen=True):
+    """Holds the place of a job that was cancelled before it was stored.
+
+    It is stored under the key of the submission, which may be on its way yet
+    and must not be stored any more. It is encoded as a map, and a job as an
+    array.
+
+    Attributes:
+        cancelled_ms: Unix time of the cancellation, in milliseconds.
+    """
+
+    cancelled_ms: int
+
+
 def problem_in(job: Job) -> str:
     """Returns what is invalid in a job, or an empty text."""
     size = len(job.spec.encode(errors="replace"))
--- a/pimentobridge/core/jobs/progress.py
+++ b/pimentobridge/core/jobs/progress.py
@@ -181,27 +181,32 @@
     )
 
 
-_job_decoder = msgspec.msgpack.Decoder(model.Job)
+_submission_decoder: msgspec.msgpack.Decoder[model.Job | dict[str, int]] = (
+    msgspec.msgpack.Decoder(model.Job | dict[str, int])
+)
+_tombstone_decoder = msgspec.msgpack.Decoder(model.Tombstone)
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
 
 
-def encode_job(job: model.Job) -> bytes:
-    """Encodes a submission for the store."""
+def encode_job(job: model.Job | model.Tombstone) -> bytes:
+    """Encodes a submission, or the tombstone of one, for the store."""
     return msgspec.msgpack.encode(job)
 
 
-def decode_job(data: bytes) -> model.Job:
-    """Decodes a submission from the store.
+def decode_job(data: bytes) -> model.Job | model.Tombstone:
+    """Decodes a submission, or the tombstone of one, from the store.
 
     Raises:
         decoding.MalformedError: the data is malformed, or describes a job that
             callers can't submit.
     """
-    job = decoding.decode(_job_decoder, data)
-    problem = model.problem_in(job)
+    record = decoding.decode(_submission_decoder, data)
+    if isinstance(record, dict):
+        return decoding.decode(_tombstone_decoder, data)
+    problem = model.problem_in(record)
     if problem:
         raise decoding.MalformedError(problem, data)
-    return job
+    return record
 
 
 def encode_progress(progress: Progress) -> bytes:
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -212,6 +212,12 @@
             return _response(200, {})
         if outcome is control.WriteOutcome.NOT_WRITTEN:
             return _not_run("the store doesn't take jobs at the moment")
+        if outcome is control.WriteOutcome.ABSENT:
+            return _error(
+                410,
+                "not run: the job was cancelled before; submit it under a new"
+                " id.",
+            )
         return _outcome_unknown(
             "the store didn't answer; repeat under the same id."
         )
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -8,6 +8,7 @@
 import trio
 
 from pimentobridge.core import decoding
+from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import record_size
 from pimentobridge.daemons import configuration_follower
@@ -23,6 +24,7 @@
 from pimentobridge.daemons import mirror_sharing
 from pimentobridge.daemons import scheduling
 from pimentobridge.daemons import store_mirror
+from pimentobridge.daemons import stored_jobs
 from pimentobridge.daemons import unreadable
 from pimentobridge.daemons import write_relay
 from pimentobridge.platform import kv_store
@@ -38,7 +40,6 @@
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
     from pimentobridge.core.jobs import configuration
-    from pimentobridge.core.jobs import model
     from pimentobridge.platform import advice as advice_service
     from pimentobridge.platform import boot_settings
     from pimentobridge.protocol import transport
@@ -84,6 +85,7 @@
         self._created_s = clock.monotonic()
         self.scheduler: scheduling.Scheduler | None = None
         self.draining = False
+        self.stored_jobs = stored_jobs.StoredJobs(clock)
         self.mirror = store_mirror.StoreMirror(
             store=store,
             prefix=keys.PREFIX,
@@ -127,7 +129,11 @@
             endpoint=endpoint, peers=self._relay_peers
         )
         self._writer = job_writer.JobWriter(
-            store=store, mirror=self.mirror, relay=self._relay, clock=clock
+            store=store,
+            mirror=self.mirror,
+            relay=self._relay,
+            stored_jobs=self.stored_jobs,
+            clock=clock,
         )
 
     async def run(self) -> None:
@@ -285,7 +291,9 @@
             item = self.mirror.items_by_key.get(key)
         if item.value is None:
             return control.WriteOutcome.ABSENT
-        job = job_items.read_job(item)
+        job = job_items.read_record(item)
+        if isinstance(job, model.Tombstone):
+            return control.WriteOutcome.ABSENT
         if job is None:
             return control.WriteOutcome.UNKNOWN
         recorded = job_items.read_progress(self.mirror.items_by_key, job)
@@ -389,6 +397,7 @@
     def _handle_item(self, item: kv_store.Item) -> None:
         """Handles a changed item, which every entry and each term may meet."""
         with containment.contained("handling a change", key=item.key):
+            self.stored_jobs.on_item(item)
             self._on_item(item)
 
     def _on_item(self, item: kv_store.Item) -> None:
@@ -480,6 +489,7 @@
             entries=self.entries,
             items_by_key=self.mirror.items_by_key,
             policy_service=self._policy_service,
+            stored_jobs=self.stored_jobs,
         )
         scheduling.load_snapshot(scheduler, self.mirror.items_by_key)
         if self.configuration is not None:
--- a/pimentobridge/daemons/job_items.py
+++ b/pimentobridge/daemons/job_items.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from pimentobridge.core import decoding
+from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import unreadable
@@ -16,24 +17,35 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from pimentobridge.core.jobs import model
     from pimentobridge.platform import kv_store
 
 
-def read_job(item: kv_store.Item) -> model.Job | None:
-    """Returns the job in an item; None if it was deleted or can't be read."""
+def read_record(item: kv_store.Item) -> model.Job | model.Tombstone | None:
+    """Returns the job or tombstone in an item under the key of a submission.
+
+    Returns:
+        None if the item was deleted or can't be read.
+    """
     if item.value is None:
         return None
     try:
-        job = progress_lib.decode_job(item.value)
-        if job.id != keys.job_id_of(item.key):
+        record = progress_lib.decode_job(item.value)
+        if isinstance(record, model.Tombstone):
+            return record
+        if record.id != keys.job_id_of(item.key):
             raise decoding.MalformedError(
-                f"the record is of job {job.id!r:.40}", item.value
+                f"the record is of job {record.id!r:.40}", item.value
             )
     except decoding.MalformedError as error:
         unreadable.log_skipped(item.key, error)
         return None
-    return job
+    return record
+
+
+def read_job(item: kv_store.Item) -> model.Job | None:
+    """Returns the job in an item; None if there is none that can be read."""
+    record = read_record(item)
+    return record if isinstance(record, model.Job) else None
 
 
 def read_progress(
--- a/pimentobridge/daemons/job_writer.py
+++ b/pimentobridge/daemons/job_writer.py
@@ -8,6 +8,7 @@
 import result
 import trio
 
+from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.daemons import job_items
 from pimentobridge.daemons import keys
@@ -18,6 +19,7 @@
     from pimentobridge.core import clock as clock_lib
     from pimentobridge.core import types
     from pimentobridge.daemons import store_mirror
+    from pimentobridge.daemons import stored_jobs as stored_jobs_lib
     from pimentobridge.daemons import write_relay
 
 RETRY_PAUSE_S = 0.05
@@ -33,6 +35,7 @@
         store: the platform's store.
         mirror: local copy of the store's items.
         relay: makes writes through other entries.
+        stored_jobs: knows the tombstones in the store.
         clock: source of time.
     """
 
@@ -42,11 +45,13 @@
         store: kv_store.KvStore,
         mirror: store_mirror.StoreMirror,
         relay: write_relay.Relay,
+        stored_jobs: stored_jobs_lib.StoredJobs,
         clock: clock_lib.Clock,
     ) -> None:
         self._store = store
         self._mirror = mirror
         self._relay = relay
+        self._stored_jobs = stored_jobs
         self._clock = clock
         self._uncertain_writes: dict[types.JobId, None] = {}
 
@@ -92,6 +97,8 @@
 
     def may_be_written(self, job_id: types.JobId) -> bool:
         """Returns whether an earlier request may have written a job."""
+        if job_id in self._stored_jobs.seen_s_by_tombstone:
+            return False
         return (
             job_id in self._uncertain_writes
             or keys.job(job_id) in self._mirror.items_by_key
@@ -139,9 +146,7 @@
             elif key in outcome.items_by_key:
                 return _outcome_of(outcome.items_by_key[key])
             return control.WriteOutcome.WRITTEN
-        if written.err_value is kv_store.StoreError.REFUSED:
-            return control.WriteOutcome.NOT_WRITTEN
-        return control.WriteOutcome.UNKNOWN
+        return _outcome_of_error(written.err_value)
 
     async def _cancel_directly(
         self, job_id: types.JobId
@@ -151,22 +156,58 @@
             return control.WriteOutcome.NOT_WRITTEN
         item = response.ok_value
         if item is None or item.value is None:
+            return await self._put_tombstone(job_id)
+        return await self._cancel_stored(item)
+
+    async def _put_tombstone(self, job_id: types.JobId) -> control.WriteOutcome:
+        """Keeps a submission that may be on its way from being stored.
+
+        An entry may be suspended with it, or the store may carry it out late.
+        The caller, who is told that there is no such job, relies on that.
+        """
+        if not self._stored_jobs.has_room_for_tombstone:
+            return control.WriteOutcome.NOT_WRITTEN
+        key = keys.job(job_id)
+        cancelled_ms = int(self._clock.now().timestamp() * 1000)
+        value = progress_lib.encode_job(model.Tombstone(cancelled_ms))
+        written = await self._store.transact(
+            expected={key: kv_store.ABSENT}, puts=[kv_store.Put(key, value)]
+        )
+        if isinstance(written, result.Err):
+            return _outcome_of_error(written.err_value)
+        outcome = written.ok_value
+        if isinstance(outcome, int):
+            self._mirror.offer(kv_store.Item(key, value, outcome))
             return control.WriteOutcome.ABSENT
-        job = job_items.read_job(item)
-        if job is None:
-            return control.WriteOutcome.UNKNOWN
+        if key in outcome.items_by_key:
+            return await self._cancel_stored(outcome.items_by_key[key])
+        return control.WriteOutcome.UNKNOWN
+
+    async def _cancel_stored(self, item: kv_store.Item) -> control.WriteOutcome:
+        job = job_items.read_record(item)
+        if not isinstance(job, model.Job):
+            return _outcome_of(item)
         if job.cancelled:
             return control.WriteOutcome.WRITTEN
         cancelled = msgspec.structs.replace(job, cancelled=True)
         # Cancellation is the only change of a submission, so that a conflict
         # means that somebody else has just cancelled it.
         return await self._put_submission(
-            job_id, progress_lib.encode_job(cancelled), item.revision
+            job.id, progress_lib.encode_job(cancelled), item.revision
         )
 
 
 def _outcome_of(stored: kv_store.Item) -> control.WriteOutcome:
     """Returns what a caller is told of a job that is stored already."""
-    if job_items.read_job(stored) is None:
+    record = job_items.read_record(stored)
+    if isinstance(record, model.Tombstone):
+        return control.WriteOutcome.ABSENT
+    if record is None:
         return control.WriteOutcome.UNKNOWN
     return control.WriteOutcome.WRITTEN
+
+
+def _outcome_of_error(error: kv_store.StoreError) -> control.WriteOutcome:
+    if error is kv_store.StoreError.REFUSED:
+        return control.WriteOutcome.NOT_WRITTEN
+    return control.WriteOutcome.UNKNOWN
--- a/pimentobridge/daemons/scheduling.py
+++ b/pimentobridge/daemons/scheduling.py
@@ -36,6 +36,7 @@
     from pimentobridge.core.jobs import configuration
     from pimentobridge.core.jobs import model
     from pimentobridge.daemons import leadership as leadership_lib
+    from pimentobridge.daemons import stored_jobs as stored_jobs_lib
     from pimentobridge.platform import advice as advice_service
     from pimentobridge.platform import boot_settings
     from pimentobridge.platform import kv_store
@@ -66,6 +67,7 @@
         items_by_key: the store's items at the start of the term.
         policy_service: decides which workers may run a step; None if the
             settings name none.
+        stored_jobs: knows the tombstones in the store.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         entries: Callable[[], tuple[types.Address, ...]],
         items_by_key: Mapping[str, kv_store.Item],
         policy_service: advice_service.AdviceService | None,
+        stored_jobs: stored_jobs_lib.StoredJobs,
     ) -> None:
         if leadership.token is None:
             raise RuntimeError(
@@ -128,6 +131,7 @@
         self._retention = retention.Retention(
             store=store,
             engine=self.engine,
+            stored_jobs=stored_jobs,
             token=self.token,
             status_s=settings.status_s,
             clock=clock,
--- a/pimentobridge/protocol/control.py
+++ b/pimentobridge/protocol/control.py
@@ -68,7 +68,8 @@
 
     `NOT_WRITTEN`: the write had no effect and will have none. `UNKNOWN`: it may
     have taken effect or may still do so. `ABSENT`: the job to cancel doesn't
-    exist.
+    exist and can't be submitted any more, or the job to submit was cancelled
+    before.
     """
 
     WRITTEN = "written"
