Bound the tasks that entries hold and the runs on a worker

Cause: the limits on clients count the bytes of records, not the tasks in them, each of which takes 331 bytes in a scheduler. A worker has at most 4,096 runs, and 512 urgent ones, so that its agent's report fits into a frame. RecordRoom has a module of its own now; its two tests moved with it, with the same bounds. Evidence: test_jobs_whose_tasks_exceed_the_memory_of_an_entry_are_refused and test_the_runs_of_a_worker_fit_into_a_report; the latter failed before.

--- a/pimentobridge/core/jobs/record_size.py
+++ b/pimentobridge/core/jobs/record_size.py
@@ -42,6 +42,18 @@
     return max(1, room // max(1, occurrence_bytes(job)))
 
 
+def open_tasks(job: model.Job, max_bytes: int) -> int:
+    """Returns how many tasks of a job can be open at the same time.
+
+    Args:
+        job: the job.
+        max_bytes: limit on the bytes of its progress.
+    """
+    tasks = sum(step.count for step in job.steps)
+    occurrences = max(1, job.occurrences)
+    return tasks * min(occurrences, max_open_occurrences(job, max_bytes))
+
+
 def problem_in(job: model.Job, max_bytes: int) -> str:
     """Returns why the store can't hold a job's records, or an empty text.
 
--- a/pimentobridge/core/scheduling/placement.py
+++ b/pimentobridge/core/scheduling/placement.py
@@ -21,6 +21,12 @@
     from pimentobridge.core.scheduling import fleet
     from pimentobridge.core.scheduling import kinds
 
+# Limits on the runs on a worker. Its agent reports all of them in one message,
+# and tasks may request next to nothing. Urgent ones find room after the others.
+MAX_RUNS_PER_WORKER = 4096
+MAX_RUNS_WITH_URGENT = MAX_RUNS_PER_WORKER + 512
+URGENT_PRIORITY = 0
+
 FreeResources = dict[runs.IncarnationKey, model.Resources]
 
 
@@ -268,6 +274,11 @@
     step, footprint = demand.step, demand.step.footprint
     cpu, memory = footprint.cpu_millicores, footprint.memory_mib
     accelerators = footprint.accelerators
+    max_runs = (
+        MAX_RUNS_WITH_URGENT
+        if demand.priority == URGENT_PRIORITY
+        else MAX_RUNS_PER_WORKER
+    )
     for worker in candidates.eligible(demand):
         free = free_by_key[worker.key]
         # A fast check, as most workers of a crowded fleet have no room. What
@@ -278,7 +289,9 @@
             or (memory and free.memory_mib < memory)
         ):
             continue
-        count = footprint.copies_in(free)
+        count = min(
+            footprint.copies_in(free), max_runs - len(worker.entries_by_key)
+        )
         if step.max_per_worker:
             remaining = step.max_per_worker - demand.tasks_by_worker.get(
                 worker.key, 0
--- a/pimentobridge/daemons/http_limits.py
+++ b/pimentobridge/daemons/http_limits.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import collections
-import contextlib
 import dataclasses
 import enum
 import itertools
@@ -25,7 +24,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
-    from collections.abc import Iterator
 
     from pimentobridge.core import clock as clock_lib
 
@@ -39,11 +37,14 @@
 MIN_CONNECTIONS = 16
 # Parts of the memory that the process itself doesn't need: for the bytes of
 # requests, for connections, and for records of accepted jobs. A request takes
-# about 1.5 times its bytes, and a record in a scheduler 2.5 times. The rest is
-# for the scheduler's own state.
+# about 1.5 times its bytes, and a record in a scheduler 2.5 times.
 REQUEST_SHARE = 0.2
 CONNECTION_SHARE = 0.25
 RECORD_SHARE = 0.15
+# Part for the tasks of accepted jobs in a scheduler.
+TASK_SHARE = 0.25
+# Memory of a task that waits.
+TASK_BYTES = 340
 # A connection without a request takes 18 KiB; the rest is for the buffers of
 # its socket, which are rarely full.
 CONNECTION_BYTES = 64 * 1024
@@ -68,11 +69,6 @@
 # Bytes received this long ago count half as progress.
 PROGRESS_HALF_LIFE_S = 0.25
 LOG_INTERVAL_S = 1.0
-# A job with a spec of the largest size has a smaller record than this.
-LARGE_RECORD_BYTES = 16 * 1024
-# Memory of one decoded step; a body of 262,000 bytes can hold 21,833 of them.
-STEP_BYTES = 220
-
 _HEAD_END = re.compile(rb"\n\r?\n")
 
 
@@ -86,6 +82,7 @@
     UNREAD_RESPONSE = "unread response"
     CONNECTIONS = "connections"
     RECORD_BYTES = "record bytes"
+    TASKS = "tasks"
 
 
 # Reasons for which the request is answered before the connection is closed.
@@ -115,6 +112,7 @@
         connections: connections of clients.
         unread: connections on which a response waits for its client to read.
         record_bytes: bytes of the records that the store holds.
+        tasks: tasks of the jobs that the store holds.
         head_s: time for the head of a request, in seconds.
         body_s: time for a whole request, in seconds.
         unread_s: time for a client to accept a response, in seconds.
@@ -124,6 +122,7 @@
     connections: int
     unread: int
     record_bytes: int
+    tasks: int
     head_s: float = HEAD_S
     body_s: float = BODY_S
     unread_s: float = UNREAD_S
@@ -149,6 +148,7 @@
         connections=connections,
         unread=max(1, int(connections * UNREAD_SHARE)),
         record_bytes=int(client_bytes * RECORD_SHARE),
+        tasks=int(client_bytes * TASK_SHARE) // TASK_BYTES,
     )
 
 
@@ -166,51 +166,6 @@
     return received.count(b"\n", 0, size) <= MAX_FIELDS
 
 
-class RecordRoom:
-    """Room for the records of jobs that are accepted.
-
-    Args:
-        limit_bytes: limit on the bytes of all records.
-        stored_bytes: returns the bytes of those that are stored.
-    """
-
-    def __init__(
-        self, limit_bytes: int, stored_bytes: Callable[[], int]
-    ) -> None:
-        self._limit_bytes = limit_bytes
-        self._stored_bytes = stored_bytes
-        self._written_bytes = 0
-
-    def admits(self, record_bytes: int, steps: int) -> bool:
-        """Returns whether there is room for a record.
-
-        Large records may take half of the room only, so that ordinary ones
-        find room after them. A job that is written alone needs room for its
-        record only, so that none is too large.
-
-        Args:
-            record_bytes: size of the record.
-            steps: number of steps of the job.
-        """
-        limit = self._limit_bytes
-        size = record_bytes
-        if self._written_bytes:
-            size += self._written_bytes + steps * STEP_BYTES
-        if record_bytes > LARGE_RECORD_BYTES:
-            limit //= 2
-        return self._stored_bytes() + size <= limit
-
-    @contextlib.contextmanager
-    def reserved(self, record_bytes: int, steps: int) -> Iterator[None]:
-        """Reserves room for a record and its job while it is being written."""
-        size = record_bytes + steps * STEP_BYTES
-        self._written_bytes += size
-        try:
-            yield
-        finally:
-            self._written_bytes -= size
-
-
 class RefusalLog:
     """Counts refusals by reason, and logs each reason once a second at most.
 
--- a/pimentobridge/daemons/job_api.py
+++ b/pimentobridge/daemons/job_api.py
@@ -17,6 +17,7 @@
 from pimentobridge.daemons import job_entry
 from pimentobridge.daemons import job_metrics
 from pimentobridge.daemons import logs
+from pimentobridge.daemons import record_room
 from pimentobridge.platform import submissions
 from pimentobridge.protocol import control
 
@@ -65,10 +66,12 @@
         self._entry = entry
         self._clock = clock
         self._ledger = ledger
-        self._room: http_limits.RecordRoom | None = None
+        self._room: record_room.RecordRoom | None = None
         if ledger is not None:
-            self._room = http_limits.RecordRoom(
-                ledger.limits.record_bytes, lambda: entry.mirror.value_bytes
+            self._room = record_room.RecordRoom(
+                ledger.limits,
+                stored_bytes=lambda: entry.mirror.value_bytes,
+                stored_tasks=lambda: entry.stored_jobs.tasks,
             )
         # Jobs whose end was told to a caller; the oldest are forgotten first.
         self._ends_told: dict[types.JobId, None] = {}
@@ -193,10 +196,13 @@
         room = self._room
         with contextlib.ExitStack() as stack:
             if room is not None and not self._entry.may_be_accepted(job_id):
-                size = len(progress_lib.encode_job(job))
-                if not room.admits(size, len(job.steps)):
-                    return self._refuse_record(job_id)
-                stack.enter_context(room.reserved(size, len(job.steps)))
+                need = record_room.Need.of(
+                    job, self._entry.settings.max_value_bytes
+                )
+                reason = room.problem_with(need)
+                if reason is not None:
+                    return self._refuse_record(job_id, reason)
+                stack.enter_context(room.reserved(need))
             outcome = await self._entry.submit(job, deadline_s)
         logs.event(
             "job submitted",
@@ -222,10 +228,12 @@
             "the store didn't answer; repeat under the same id."
         )
 
-    def _refuse_record(self, job_id: types.JobId) -> http.Response:
+    def _refuse_record(
+        self, job_id: types.JobId, reason: http_limits.Reason
+    ) -> http.Response:
         assert self._ledger is not None
-        self._ledger.refusals.record(http_limits.Reason.RECORD_BYTES)
-        return self._refused(job_id, "too many bytes of jobs are stored")
+        self._ledger.refusals.record(reason)
+        return self._refused(job_id, f"too many {reason.value} are stored")
 
     def _refused(self, job_id: types.JobId, reason: str) -> http.Response:
         """Returns a response for a submission that has not run."""
--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -85,7 +85,9 @@
         self._created_s = clock.monotonic()
         self.scheduler: scheduling.Scheduler | None = None
         self.draining = False
-        self.stored_jobs = stored_jobs.StoredJobs(clock)
+        self.stored_jobs = stored_jobs.StoredJobs(
+            clock, max_value_bytes=settings.max_value_bytes
+        )
         self.mirror = store_mirror.StoreMirror(
             store=store,
             prefix=keys.PREFIX,
@@ -202,6 +204,8 @@
             "store_calls_total": self._store.calls,
             "mirror_age_seconds": self.mirror_age_s,
             "configuration_version": version,
+            "stored_tasks": self.stored_jobs.tasks,
+            "tombstones": len(self.stored_jobs.seen_s_by_tombstone),
             "log_lines_left_out_total": logs.dropped_lines(),
         }
         if self.scheduler is not None:
--- a/pimentobridge/daemons/stored_jobs.py
+++ b/pimentobridge/daemons/stored_jobs.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pimentobridge.core.jobs import model
+from pimentobridge.core.jobs import record_size
 from pimentobridge.daemons import job_items
 from pimentobridge.daemons import keys
 
@@ -19,18 +20,23 @@
 
 
 class StoredJobs:
-    """Tombstones among the submissions that the store holds.
+    """Counts the tasks and tombstones among the submissions in the store.
 
     Args:
         clock: source of time.
+        max_value_bytes: limit of the store on a value.
 
     Attributes:
+        tasks: number of tasks that can be open at the same time.
         seen_s_by_tombstone: monotonic time at which this entry learned of each
             tombstone, in seconds, by the id of its job.
     """
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    def __init__(self, clock: clock_lib.Clock, *, max_value_bytes: int) -> None:
         self._clock = clock
+        self._max_value_bytes = max_value_bytes
+        self._tasks_by_job: dict[types.JobId, int] = {}
+        self.tasks = 0
         self.seen_s_by_tombstone: dict[types.JobId, float] = {}
 
     @property
@@ -47,5 +53,10 @@
         if isinstance(record, model.Tombstone):
             now_s = self._clock.monotonic()
             self.seen_s_by_tombstone.setdefault(job_id, now_s)
-        else:
-            self.seen_s_by_tombstone.pop(job_id, None)
+            return
+        self.seen_s_by_tombstone.pop(job_id, None)
+        self.tasks -= self._tasks_by_job.pop(job_id, 0)
+        if record is not None:
+            tasks = record_size.open_tasks(record, self._max_value_bytes)
+            self._tasks_by_job[job_id] = tasks
+            self.tasks += tasks
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -37,6 +37,7 @@
                     "connections": 10,
                     "unread": 10,
                     "record_bytes": 1,
+                    "tasks": 1,
                 }
                 | limits
             ),
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -59,6 +59,7 @@
         connections=connections,
         unread=unread,
         record_bytes=1000,
+        tasks=1000,
     )
 
 
@@ -91,6 +92,7 @@
     large = http_limits.for_machine(200, 600)
     assert small.request_bytes < large.request_bytes
     assert small.record_bytes < large.record_bytes
+    assert small.tasks < large.tasks
     assert small.connections < large.connections == 600 - 200
     assert http_limits.for_machine(1, 1).connections > 0
 
@@ -271,29 +273,6 @@
     assert http_limits.accepts_head(received) is accepted
 
 
-def test_large_records_leave_room_for_ordinary_ones() -> None:
-    stored = 0
-    large = http_limits.LARGE_RECORD_BYTES + 1
-    room = http_limits.RecordRoom(4 * large, lambda: stored)
-    assert room.admits(large, 0)
-    with room.reserved(large, 0):
-        assert room.admits(large, 0)
-        with room.reserved(large, 0):
-            assert not room.admits(large, 0)
-            assert room.admits(1000, 1)
-    stored = 4 * large
-    assert not room.admits(1000, 1)
-
-
-def test_jobs_of_many_steps_are_written_one_at_a_time() -> None:
-    # A decoded step takes many times its bytes in a body.
-    room = http_limits.RecordRoom(1_000_000, lambda: 0)
-    assert room.admits(200_000, 20_000)
-    with room.reserved(200_000, 20_000):
-        assert not room.admits(200_000, 20_000)
-    assert room.admits(200_000, 20_000)
-
-
 def _queue() -> request_queue.RequestQueue:
     return request_queue.RequestQueue(lambda: None, lambda: None)
 
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -586,6 +586,7 @@
             connections=1,
             unread=1,
             record_bytes=record_bytes,
+            tasks=10_000,
         )
         machine.api = job_api.CallerApi(
             machine.api._entry,
--- a/tests/test_long_orders.py
+++ b/tests/test_long_orders.py
@@ -9,13 +9,17 @@
 import trio
 
 from pimentobridge.bench import harness
+from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import orders as orders_lib
+from pimentobridge.core.scheduling import placement
 from pimentobridge.lab import callers
 from pimentobridge.lab import checkers
 from pimentobridge.lab import operator_documents
 from pimentobridge.lab import world as world_lib
+from pimentobridge.protocol import codec
+from pimentobridge.protocol import control
 from pimentobridge.testing import engine_harness
 
 TASKS = 1100
@@ -77,6 +81,32 @@
     assert keys[0].task.startswith(jobs[-1].id)
 
 
+# Guards against LOST (issue 48, review/8): a report on any number of tasks that
+# request next to nothing would be longer than a frame, too.
+def test_the_runs_of_a_worker_fit_into_a_report() -> None:
+    fleet = engine_harness.EngineHarness(1)
+    tiny = model.Step(placement.MAX_RUNS_PER_WORKER + 100, model.NO_RESOURCES)
+    urgent = model.Step(8, model.NO_RESOURCES)
+    fleet.submit(engine_harness.job("a" * 16, tiny, priority=2))
+    fleet.submit(engine_harness.job("b" * 16, urgent, priority=0))
+    (worker,) = fleet.engine.workers_by_incarnation.values()
+    keys = list(worker.entries_by_key)
+    assert len(keys) == placement.MAX_RUNS_PER_WORKER + 8
+    running = tuple(
+        runs.MeasuredTask(key, "00000bb87a21d94b", 100, 128_000) for key in keys
+    )
+    report = control.WorkerReport(
+        agent=types.Address("tcp://10.200.130.17:7000"),
+        process="a" * 32,
+        token=1,
+        sent_s=1.0,
+        answered_s=1.0,
+        worker=runs.Observation(fleet.incarnations[0], running),
+    )
+    encoded = codec.encode(report.agent, report)
+    assert len(encoded) < codec.MAX_FRAME_BYTES / 2
+
+
 class _EarlierInstructions(msgspec.Struct, frozen=True, array_like=True):
     """Orders as versions without shared starts send and read them."""
 
--- /dev/null
+++ b/tests/test_record_room.py
@@ -0,0 +1,111 @@
+"""Room for the records and the tasks of accepted jobs."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+import trio
+
+from pimentobridge.bench import harness
+from pimentobridge.daemons import http_limits
+from pimentobridge.daemons import job_api
+from pimentobridge.daemons import record_room
+from pimentobridge.lab import world as world_lib
+from pimentobridge.testing import asgi
+
+HEADERS = {"Host": "host.example", "Authorization": f"Bearer {world_lib.KEY}"}
+MAX_TASKS = 10_000
+
+
+def _limits(*, record_bytes: int) -> http_limits.Limits:
+    return http_limits.Limits(
+        request_bytes=1000,
+        connections=1,
+        unread=1,
+        record_bytes=record_bytes,
+        tasks=MAX_TASKS,
+    )
+
+
+def _admits(
+    room: record_room.RecordRoom, record_bytes: int, steps: int
+) -> bool:
+    return room.problem_with(record_room.Need(record_bytes, steps)) is None
+
+
+def test_large_records_leave_room_for_ordinary_ones() -> None:
+    stored = 0
+    large = record_room.LARGE_RECORD_BYTES + 1
+    room = record_room.RecordRoom(
+        _limits(record_bytes=4 * large), lambda: stored, lambda: 0
+    )
+    assert _admits(room, large, 0)
+    with room.reserved(record_room.Need(large)):
+        assert _admits(room, large, 0)
+        with room.reserved(record_room.Need(large)):
+            assert not _admits(room, large, 0)
+            assert _admits(room, 1000, 1)
+    stored = 4 * large
+    assert not _admits(room, 1000, 1)
+
+
+def test_jobs_of_many_steps_are_written_one_at_a_time() -> None:
+    # A decoded step takes many times its bytes in a body.
+    room = record_room.RecordRoom(
+        _limits(record_bytes=1_000_000), lambda: 0, lambda: 0
+    )
+    assert _admits(room, 200_000, 20_000)
+    with room.reserved(record_room.Need(200_000, 20_000)):
+        assert not _admits(room, 200_000, 20_000)
+    assert _admits(room, 200_000, 20_000)
+
+
+# Guards against an entry whose memory a few short submissions fill (issue 44):
+# twenty jobs of 100,000 tasks took 525 MB.
+def test_jobs_whose_tasks_exceed_the_memory_of_an_entry_are_refused() -> None:
+    async def scenario(world: world_lib.World) -> Any:
+        machine = world.entries[0]
+        assert machine.api is not None
+        clock = machine.api._clock
+        machine.api = job_api.CallerApi(
+            machine.api._entry,
+            clock=clock,
+            ledger=http_limits.Ledger(_limits(record_bytes=100_000), clock),
+        )
+
+        async def submit(number: int, tasks: int) -> int:
+            step = {"count": tasks, "cpu": 1, "memMb": 1, "estimateMs": 1000}
+            spec = json.dumps({"seconds": 1.0, "request": [1, 1, 0]})
+            answer = await asgi.call(
+                machine.api,
+                "POST",
+                f"/queue-0/{number:016x}",
+                json.dumps({"spec": spec, "steps": [step]}).encode(),
+                headers=HEADERS,
+            )
+            assert answer is not None
+            return answer[0]
+
+        statuses = [await submit(number, 4000) for number in range(3)]
+        return statuses, await submit(0, 4000), await submit(9, 100)
+
+    async def main() -> Any:
+        async with trio.open_nursery() as nursery:
+            world = world_lib.World(
+                rng=random.Random(1), nursery=nursery, entries=1, workers=2
+            )
+            world.put_configuration()
+            await _start_without_workers(world)
+            outcome = await scenario(world)
+            nursery.cancel_scope.cancel()
+        return outcome
+
+    assert harness.run_virtual(main) == ([200, 200, 503], 200, 200)
+
+
+async def _start_without_workers(world: world_lib.World) -> None:
+    world.workers.clear()
+    world.start()
+    await trio.sleep(3.0)
