--- a/pimentobridge/lab/callers.py
+++ b/pimentobridge/lab/callers.py
@@ -22,6 +22,8 @@
 SUBMIT_ATTEMPTS = 5
 CALL_TIMEOUT_S = 3.0
 RETRY_DELAY_S = 0.7
+# After these, the job may be stored or may still be.
+UNCERTAIN_STATUSES = (0, 502, 504)
 POLL_INTERVAL_S = 2.0
 # How many of the simulation's six workers the policy permits for each step; the
 # policy is `world._is_permitted`.
@@ -134,7 +136,10 @@
         self._until_s = until_s
 
     async def run(self) -> None:
-        """Submits the job and polls it until it ends."""
+        """Submits the job and polls it until it ends.
+
+        A caller that doesn't learn whether its job was accepted gives it up.
+        """
         self._checker.jobs_by_id[self._job.id] = self._job
         body = json.dumps(
             {"spec": self._job.spec, "steps": self._job.steps}
@@ -146,6 +151,8 @@
                 break
             await trio.sleep(RETRY_DELAY_S)
         if not self._job.accepted:
+            if self._job.statuses[-1] in UNCERTAIN_STATUSES:
+                await self._cancel()
             return
         if self._cancels_after_s is not None:
             await trio.sleep(self._cancels_after_s)
@@ -156,7 +163,9 @@
         self._job.cancel_sent = True
         while trio.current_time() < self._until_s:
             status, _ = await self._call("DELETE", b"")
-            if status == 200:
+            if status == 410:
+                self._checker.on_not_found(self._job)
+            if status in (200, 410):
                 self._job.cancelled_s = trio.current_time()
                 return
             await trio.sleep(RETRY_DELAY_S)
