Compress the progress of jobs of many tasks

Cause: each change writes the whole record, 0.9 MB, which takes longer than a write may. Fix: progress of 16 KiB or more is compressed; both forms are read.

--- a/pimentobridge/core/jobs/progress.py
+++ b/pimentobridge/core/jobs/progress.py
@@ -4,6 +4,7 @@
 
 import enum
 from typing import TYPE_CHECKING
+import zlib
 
 import msgspec
 
@@ -15,6 +16,12 @@
     from collections.abc import Iterator
 
 
+# Progress of at least this size is compressed.
+MIN_COMPRESSED_BYTES = 16 * 1024
+# Start of compressed data. Other records start with an array.
+COMPRESSED_PREFIX = b"\x78"
+# Limit on what a record may decompress to.
+MAX_PROGRESS_BYTES = 32 * 1024 * 1024
 # Limit of the remembered workers on which a task has failed.
 MAX_WORKERS_FAILED_ON = 8
 
@@ -210,8 +217,15 @@
 
 
 def encode_progress(progress: Progress) -> bytes:
-    """Encodes a job's progress for the store."""
-    return msgspec.msgpack.encode(progress)
+    """Encodes a job's progress for the store.
+
+    That of a job of many tasks is compressed: it is written again and again,
+    over links that may be slow, and its tasks have much in common.
+    """
+    data = msgspec.msgpack.encode(progress)
+    if len(data) < MIN_COMPRESSED_BYTES:
+        return data
+    return zlib.compress(data, zlib.Z_BEST_SPEED)
 
 
 def decode_progress(data: bytes, job: model.Job) -> Progress:
@@ -225,7 +239,7 @@
         decoding.MalformedError: the data is malformed, or doesn't match the
             job's steps.
     """
-    progress = decoding.decode(_progress_decoder, data)
+    progress = decoding.decode(_progress_decoder, _decompressed(data))
     if not all(
         _matches(occurrence, job)
         for occurrence in progress.occurrences_by_number.values()
@@ -236,6 +250,24 @@
     return progress
 
 
+def _decompressed(data: bytes) -> bytes:
+    """Returns the encoded progress in a record.
+
+    Raises:
+        decoding.MalformedError: the record is compressed and malformed.
+    """
+    if not data.startswith(COMPRESSED_PREFIX):
+        return data
+    decompressor = zlib.decompressobj()
+    try:
+        decompressed = decompressor.decompress(data, MAX_PROGRESS_BYTES)
+    except zlib.error as error:
+        raise decoding.MalformedError(str(error), data) from error
+    if not decompressor.eof:
+        raise decoding.MalformedError("the record is cut or too long", data)
+    return decompressed
+
+
 def _matches(occurrence: Occurrence, job: model.Job) -> bool:
     """Returns whether the units are those of the job's steps."""
     if len(occurrence.steps) != len(job.steps):
--- a/tests/test_record_size.py
+++ b/tests/test_record_size.py
@@ -7,10 +7,12 @@
 import random
 from typing import Any
 
+import msgspec
 import pytest
 import trio
 
 from pimentobridge.bench import harness
+from pimentobridge.core import decoding
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import progress as progress_lib
@@ -77,7 +79,29 @@
         job_of(count + 1), limit
     )
     progress = _place_all(job_of(count), failures)
-    assert len(progress_lib.encode_progress(progress)) <= limit
+    # Also before it is compressed.
+    assert len(msgspec.msgpack.encode(progress)) <= limit
+
+
+def test_large_progress_is_compressed_and_read_again() -> None:
+    job = engine_harness.job("a" * 16, model.Step(8000, SMALL))
+    progress = _place_all(job, 1)
+    record = progress_lib.encode_progress(progress)
+    assert len(record) < len(msgspec.msgpack.encode(progress)) / 5
+    assert progress_lib.decode_progress(record, job) == progress
+    for malformed in (record[:-5], record[:1] + b"?" + record[2:]):
+        with pytest.raises(decoding.MalformedError):
+            progress_lib.decode_progress(malformed, job)
+
+
+def test_a_record_that_decompresses_to_too_much_is_malformed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    job = engine_harness.job("a" * 16, model.Step(8000, SMALL))
+    record = progress_lib.encode_progress(_place_all(job, 1))
+    monkeypatch.setattr(progress_lib, "MAX_PROGRESS_BYTES", 10_000)
+    with pytest.raises(decoding.MalformedError, match="too long"):
+        progress_lib.decode_progress(record, job)
 
 
 def _run_scenario(scenario: Any) -> Any:
