Test unrecordable jobs without compression

It keeps compression out now, so that the same job is too large as before; what it checks is unchanged.

--- a/tests/test_record_size.py
+++ b/tests/test_record_size.py
@@ -185,7 +185,12 @@
 
 # Guards against LOST (issue 48, review/8): a job that an earlier version has
 # accepted and that can't be recorded stops no other job.
-def test_a_stored_job_that_cannot_be_recorded_fails_alone() -> None:
+def test_a_stored_job_that_cannot_be_recorded_fails_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # As with checkpoints, which have nothing in common.
+    monkeypatch.setattr(progress_lib, "MIN_COMPRESSED_BYTES", 2**40)
+
     async def scenario(world: world_lib.World) -> tuple[str, str]:
         step = model.Step(20_000, SMALL, 1.0)
         job = engine_harness.job("b" * 16, step, priority=0)
