--- a/tests/test_cancel_before_submission.py
+++ b/tests/test_cancel_before_submission.py
@@ -2,31 +2,27 @@
 
 from __future__ import annotations
 
-import json
-import random
 from typing import TYPE_CHECKING
 from typing import Any
 
 import result
 import trio
 
-from pimentobridge.bench import harness
 from pimentobridge.core import types
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import stored_jobs
 from pimentobridge.lab import callers
 from pimentobridge.lab import faulty_client
-from pimentobridge.lab import world as world_lib
-from pimentobridge.testing import asgi
+from pimentobridge.lab import scenario as scenario_lib
 
 if TYPE_CHECKING:
     import pytest
 
+    from pimentobridge.lab import world as world_lib
+
 JOB = callers.one_task_job(1.0)
 JOB_ID = types.JobId(JOB.id)
-PATH = f"/queue-0/{JOB_ID}"
-BODY = json.dumps({"spec": JOB.spec, "steps": JOB.steps}).encode()
-HEADERS = {"Host": "host.example", "Authorization": f"Bearer {world_lib.KEY}"}
+BODY = {"spec": JOB.spec, "steps": JOB.steps}
 # The store carries out a late call within this time, and a task then starts.
 SETTLED_S = 12.0
 
@@ -36,18 +32,13 @@
 
     def __init__(self, world: world_lib.World) -> None:
         self.world = world
+        world.checker.jobs_by_id[JOB.id] = callers.one_task_job(1.0)
 
     async def call(self, method: str, entry: int, *, id_: str = JOB_ID) -> int:
-        api = self.world.entries[entry].api
-        assert api is not None
-        answer = await asgi.call(
-            api,
-            method,
-            f"/queue-0/{id_}",
-            BODY if method == "POST" else b"",
-            headers=HEADERS,
+        body = BODY if method == "POST" else None
+        return await scenario_lib.call(
+            self.world, method, f"/queue-0/{id_}", body, entry=entry
         )
-        return 0 if answer is None else answer[0]
 
     @property
     def started(self) -> int:
@@ -55,20 +46,7 @@
 
 
 def _run(scenario: Any) -> Any:
-    async def main() -> Any:
-        async with trio.open_nursery() as nursery:
-            world = world_lib.World(
-                rng=random.Random(1), nursery=nursery, entries=2, workers=2
-            )
-            world.checker.jobs_by_id[JOB.id] = callers.one_task_job(1.0)
-            world.put_configuration()
-            world.start()
-            await trio.sleep(4.0)
-            outcome = await scenario(_Client(world))
-            nursery.cancel_scope.cancel()
-        return outcome
-
-    return harness.run_virtual(main)
+    return scenario_lib.run(lambda world: scenario(_Client(world)), entries=2)
 
 
 # Guards against UNASKED (issue 48, review/9): a submission that was held up in
--- a/tests/test_long_orders.py
+++ b/tests/test_long_orders.py
@@ -2,21 +2,16 @@
 
 from __future__ import annotations
 
-import json
-import random
-
 import msgspec
 import trio
 
-from pimentobridge.bench import harness
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
 from pimentobridge.core.jobs import runs
 from pimentobridge.core.scheduling import orders as orders_lib
 from pimentobridge.core.scheduling import placement
 from pimentobridge.lab import callers
-from pimentobridge.lab import checkers
-from pimentobridge.lab import operator_documents
+from pimentobridge.lab import scenario
 from pimentobridge.lab import world as world_lib
 from pimentobridge.protocol import codec
 from pimentobridge.protocol import control
@@ -133,45 +128,22 @@
     assert len(instructions.all_starts) == 3
 
 
-def _large_job() -> checkers.SubmittedJob:
-    spec = {"seconds": 3.0, "request": [20, 50, 0], "text": ""}
-    spec["text"] = "x" * (model.MAX_SPEC_BYTES - len(json.dumps(spec)))
-    return checkers.SubmittedJob(
-        id="b" * 16,
-        spec=json.dumps(spec),
-        steps=[{"count": TASKS, "cpu": 20, "memMb": 50, "estimateMs": 3000}],
-        max_attempts=operator_documents.MAX_ATTEMPTS,
+# Guards against LOST (issue 48, review/8): a large job cut its worker off from
+# all orders, and a task of another account there ended with the lease.
+def test_a_large_job_with_a_long_spec_harms_no_other_task() -> None:
+    urgent = callers.one_task_job(URGENT_S)
+    large = scenario.job_of_small_tasks(
+        "b" * 16, TASKS, seconds=3.0, spec_bytes=model.MAX_SPEC_BYTES
     )
 
-
-async def _run_large_job_beside_urgent_task() -> tuple[
-    list[str], list[str], int
-]:
-    """Returns the findings, the last states, and the number of starts."""
-    urgent, large = callers.one_task_job(URGENT_S), _large_job()
-    async with trio.open_nursery() as nursery:
-        world = world_lib.World(
-            rng=random.Random(1), nursery=nursery, entries=1, workers=2
-        )
-        world.put_configuration()
-        world.start()
-        await trio.sleep(4.0)
+    async def play(world: world_lib.World) -> tuple[list[str], int]:
         async with trio.open_nursery() as traffic:
             for job in (urgent, large):
                 follower = callers.follow(world, job, for_s=FOLLOW_S)
                 traffic.start_soon(follower.run)
                 await trio.sleep(1.0)
-        findings = world.checker.finish()
-        nursery.cancel_scope.cancel()
-    states = [job.observed_states[-1][1] for job in (urgent, large)]
-    return findings, states, world.checker.started
+        return world.checker.finish(), world.checker.started
 
-
-# Guards against LOST (issue 48, review/8): a large job cut its worker off from
-# all orders, and a task of another account there ended with the lease.
-def test_a_large_job_with_a_long_spec_harms_no_other_task() -> None:
-    assert harness.run_virtual(_run_large_job_beside_urgent_task) == (
-        [],
-        ["completed", "completed"],
-        TASKS + 1,
-    )
+    assert scenario.run(play) == ([], TASKS + 1)
+    assert urgent.observed_states[-1][1] == "completed"
+    assert large.observed_states[-1][1] == "completed"
--- a/tests/test_partial_lists_of_ends.py
+++ b/tests/test_partial_lists_of_ends.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-import json
-import random
-
 import pytest
 import trio
 
-from pimentobridge.bench import harness
 from pimentobridge.core.jobs import runs
 from pimentobridge.daemons import worker_view
 from pimentobridge.lab import callers
 from pimentobridge.lab import checkers
 from pimentobridge.lab import faulty_client
 from pimentobridge.lab import machines
-from pimentobridge.lab import operator_documents
+from pimentobridge.lab import scenario
 from pimentobridge.lab import world as world_lib
 from pimentobridge.platform import runner_status
 
@@ -26,77 +22,86 @@
 RUN = runs.RunKey("a.0.0.0", 1)
 
 
-def _job(number: int, tasks: int) -> checkers.SubmittedJob:
-    spec = {"seconds": TASK_S, "request": [50, 100, 0]}
-    step: dict[str, object] = {
-        "count": tasks,
-        "cpu": 50,
-        "memMb": 100,
-        "estimateMs": TASK_S * 1000,
-    }
-    return checkers.SubmittedJob(
-        id=f"{number:016x}",
-        spec=json.dumps(spec),
-        steps=[step],
-        max_attempts=operator_documents.MAX_ATTEMPTS,
-    )
+def _jobs(tasks: int) -> list[checkers.SubmittedJob]:
+    return [
+        scenario.job_of_small_tasks(
+            f"{number:016x}", tasks // JOBS, seconds=TASK_S
+        )
+        for number in range(JOBS)
+    ]
 
 
 def _busiest(world: world_lib.World) -> machines.WorkerHost:
     return max(world.workers, key=lambda host: len(host.runner.runs_by_task))
 
 
-async def _start_jobs(
+async def _run_until_first_ends(
     world: world_lib.World,
     jobs: list[checkers.SubmittedJob],
     traffic: trio.Nursery,
-) -> float:
-    """Starts all tasks on one worker; returns when the first one started."""
-    world.put_configuration()
-    world.start()
-    await trio.sleep(4.0)
+) -> machines.WorkerHost:
+    """Has one worker run all tasks; returns it shortly before their ends."""
     for job in jobs:
         traffic.start_soon(callers.follow(world, job, for_s=FOLLOW_S).run)
     tasks = sum(job.steps[0]["count"] for job in jobs)
     while len(_busiest(world).runner.runs_by_task) < tasks:
         await trio.sleep(0.05)
-    return min(
-        run.accepted_s for run in _busiest(world).runner.runs_by_task.values()
-    )
+    busiest = _busiest(world)
+    started = [run.accepted_s for run in busiest.runner.runs_by_task.values()]
+    await trio.sleep_until(min(started) + TASK_S - 0.4)
+    return busiest
 
 
-async def _run_jobs(disruption: str, tasks: int) -> tuple[list[str], set[str]]:
-    """Returns the findings, and the last states of the jobs."""
-    jobs = [_job(number, tasks // JOBS) for number in range(JOBS)]
-    async with trio.open_nursery() as nursery:
-        world = world_lib.World(
-            rng=random.Random(1), nursery=nursery, entries=1, workers=2
-        )
+# Guards against TWICE (issue 48, review/6): a run whose end was left out of a
+# list of 500 counted as one that never started, or that a stop had prevented.
+@pytest.mark.parametrize("tasks", [510, 600])
+@pytest.mark.parametrize("disruption", ["agent killed", "store away"])
+def test_no_task_whose_end_is_left_out_starts_again(
+    disruption: str, tasks: int
+) -> None:
+    jobs = _jobs(tasks)
+
+    async def play(world: world_lib.World) -> list[str]:
         async with trio.open_nursery() as traffic:
-            started_s = await _start_jobs(world, jobs, traffic)
-            await trio.sleep_until(started_s + TASK_S - 0.4)
+            busiest = await _run_until_first_ends(world, jobs, traffic)
             if disruption == "agent killed":
-                _busiest(world).kill()
+                busiest.kill()
             else:
                 world.store_faults.outage = faulty_client.OutageMode.SILENT
                 await trio.sleep(OUTAGE_S)
                 world.store_faults.outage = None
-        findings = world.checker.finish()
-        nursery.cancel_scope.cancel()
-    return findings, {job.observed_states[-1][1] for job in jobs}
+        return world.checker.finish()
 
+    assert scenario.run(play) == []
+    assert {job.observed_states[-1][1] for job in jobs} == {"completed"}
 
-# Guards against TWICE (issue 48, review/6): a run whose end was left out of a
-# list of 500 counted as one that never started, or that a stop had prevented.
-@pytest.mark.parametrize("tasks", [510, 600])
-@pytest.mark.parametrize("disruption", ["agent killed", "store away"])
-def test_no_task_whose_end_is_left_out_starts_again(
-    disruption: str, tasks: int
-) -> None:
-    assert harness.run_virtual(_run_jobs, disruption, tasks) == (
-        [],
-        {"completed"},
-    )
+
+# Guards against innocent tasks that count as having crashed their worker
+# (issue 48, review/6): ends that a list left out didn't clear them.
+def test_a_crash_isnt_blamed_on_runs_whose_ends_are_left_out() -> None:
+    async def play(world: world_lib.World) -> int:
+        async with trio.open_nursery() as traffic:
+            busiest = await _run_until_first_ends(world, _jobs(600), traffic)
+            world.store_faults.outage = faulty_client.OutageMode.SILENT
+            while busiest.runner.runs_by_task:
+                await trio.sleep(0.05)
+            await trio.sleep(1.0)
+            busiest.crash_runner()
+            await trio.sleep(1.0)
+            world.store_faults.outage = None
+            await trio.sleep(5.0)
+            entry = world.entries[0].entry
+            assert entry is not None and entry.scheduler is not None
+            blamed = [
+                unit
+                for tracked in entry.scheduler.engine.jobs_by_id.values()
+                for _, _, unit in tracked.progress.units()
+                if unit.crashed_on
+            ]
+            traffic.cancel_scope.cancel()
+        return len(blamed)
+
+    assert scenario.run(play) == 0
 
 
 def _status(ends: int, clock_s: float) -> runner_status.RunnerStatus:
@@ -124,10 +129,7 @@
     view.closed_runs.on_refused(RUN, 10.0)
     view.closed_runs.on_stopped(RUN, 10.0)
     view.apply(_status(ends, 5.0), 12.0, sent_s=sent_s)
-    assert (RUN in view.refused, RUN in view.stop_confirmed) == (
-        reported,
-        reported,
-    )
+    assert (RUN in view.refused) is (RUN in view.stop_confirmed) is reported
 
 
 # Guards against ends that are lost with a machine which its agent leaves while
@@ -139,40 +141,3 @@
     assert view.has_unacknowledged_ends
     view.apply(_status(0, 6.0), 13.0, sent_s=12.0)
     assert not view.has_unacknowledged_ends
-
-
-async def _crash_after_ends(tasks: int) -> int:
-    """Returns how many tasks are blamed for a crash after their ends."""
-    jobs = [_job(number, tasks // JOBS) for number in range(JOBS)]
-    async with trio.open_nursery() as nursery:
-        world = world_lib.World(
-            rng=random.Random(1), nursery=nursery, entries=1, workers=2
-        )
-        async with trio.open_nursery() as traffic:
-            started_s = await _start_jobs(world, jobs, traffic)
-            await trio.sleep_until(started_s + TASK_S - 0.4)
-            world.store_faults.outage = faulty_client.OutageMode.SILENT
-            busiest = _busiest(world)
-            while busiest.runner.runs_by_task:
-                await trio.sleep(0.05)
-            await trio.sleep(1.0)
-            busiest.crash_runner()
-            await trio.sleep(1.0)
-            world.store_faults.outage = None
-            await trio.sleep(5.0)
-            entry = world.entries[0].entry
-            assert entry is not None and entry.scheduler is not None
-            blamed = [
-                unit
-                for tracked in entry.scheduler.engine.jobs_by_id.values()
-                for _, _, unit in tracked.progress.units()
-                if unit.crashed_on
-            ]
-            nursery.cancel_scope.cancel()
-    return len(blamed)
-
-
-# Guards against innocent tasks that count as having crashed their worker
-# (issue 48, review/6): ends that a list left out didn't clear them.
-def test_a_crash_isnt_blamed_on_runs_whose_ends_are_left_out() -> None:
-    assert harness.run_virtual(_crash_after_ends, 600) == 0
--- a/tests/test_record_room.py
+++ b/tests/test_record_room.py
@@ -2,20 +2,14 @@
 
 from __future__ import annotations
 
-import json
-import random
 from typing import Any
 
-import trio
-
-from pimentobridge.bench import harness
 from pimentobridge.daemons import http_limits
 from pimentobridge.daemons import job_api
 from pimentobridge.daemons import record_room
+from pimentobridge.lab import scenario
 from pimentobridge.lab import world as world_lib
-from pimentobridge.testing import asgi
 
-HEADERS = {"Host": "host.example", "Authorization": f"Bearer {world_lib.KEY}"}
 MAX_TASKS = 10_000
 
 
@@ -65,7 +59,7 @@
 # Guards against an entry whose memory a few short submissions fill (issue 44):
 # twenty jobs of 100,000 tasks took 525 MB.
 def test_jobs_whose_tasks_exceed_the_memory_of_an_entry_are_refused() -> None:
-    async def scenario(world: world_lib.World) -> Any:
+    async def play(world: world_lib.World) -> Any:
         machine = world.entries[0]
         assert machine.api is not None
         clock = machine.api._clock
@@ -76,36 +70,16 @@
         )
 
         async def submit(number: int, tasks: int) -> int:
-            step = {"count": tasks, "cpu": 1, "memMb": 1, "estimateMs": 1000}
-            spec = json.dumps({"seconds": 1.0, "request": [1, 1, 0]})
-            answer = await asgi.call(
-                machine.api,
-                "POST",
-                f"/queue-0/{number:016x}",
-                json.dumps({"spec": spec, "steps": [step]}).encode(),
-                headers=HEADERS,
+            job = scenario.job_of_small_tasks(
+                f"{number:016x}", tasks, seconds=1.0
+            )
+            body = {"spec": job.spec, "steps": job.steps}
+            return await scenario.call(
+                world, "POST", f"/queue-0/{job.id}", body
             )
-            assert answer is not None
-            return answer[0]
 
         statuses = [await submit(number, 4000) for number in range(3)]
         return statuses, await submit(0, 4000), await submit(9, 100)
 
-    async def main() -> Any:
-        async with trio.open_nursery() as nursery:
-            world = world_lib.World(
-                rng=random.Random(1), nursery=nursery, entries=1, workers=2
-            )
-            world.put_configuration()
-            await _start_without_workers(world)
-            outcome = await scenario(world)
-            nursery.cancel_scope.cancel()
-        return outcome
-
-    assert harness.run_virtual(main) == ([200, 200, 503], 200, 200)
-
-
-async def _start_without_workers(world: world_lib.World) -> None:
-    world.workers.clear()
-    world.start()
-    await trio.sleep(3.0)
+    outcome = scenario.run(play, workers=0)
+    assert outcome == ([200, 200, 503], 200, 200)
--- a/tests/test_record_size.py
+++ b/tests/test_record_size.py
@@ -4,14 +4,12 @@
 
 import base64
 import json
-import random
 from typing import Any
 
 import msgspec
 import pytest
 import trio
 
-from pimentobridge.bench import harness
 from pimentobridge.core import decoding
 from pimentobridge.core import types
 from pimentobridge.core.jobs import model
@@ -19,10 +17,8 @@
 from pimentobridge.core.jobs import record_size
 from pimentobridge.daemons import keys
 from pimentobridge.lab import callers
-from pimentobridge.lab import checkers
-from pimentobridge.lab import operator_documents
+from pimentobridge.lab import scenario
 from pimentobridge.lab import world as world_lib
-from pimentobridge.testing import asgi
 from pimentobridge.testing import engine_harness
 
 MAX_VALUE_BYTES = 64 * 1024
@@ -30,7 +26,7 @@
 SMALL = model.Resources(10, 10, 0)
 SMALL_STEP = {"cpu": 10, "memMb": 10, "estimateMs": 1000}
 SPEC = json.dumps({"seconds": 1.0, "request": [10, 10, 0]})
-HEADERS = {"Host": "host.example", "Authorization": f"Bearer {world_lib.KEY}"}
+PATH = f"/queue-0/{'b' * 16}"
 WORKER = types.WorkerId("i-0a000000000000000")
 AGENT = types.Address("tcp://10.200.130.17:7000")
 
@@ -104,35 +100,8 @@
         progress_lib.decode_progress(record, job)
 
 
-def _run_scenario(scenario: Any) -> Any:
-    async def main() -> Any:
-        async with trio.open_nursery() as nursery:
-            world = world_lib.World(
-                rng=random.Random(1), nursery=nursery, entries=1, workers=2
-            )
-            world.store.max_value_bytes = MAX_VALUE_BYTES
-            world.put_configuration()
-            world.start()
-            await trio.sleep(4.0)
-            outcome = await scenario(world)
-            nursery.cancel_scope.cancel()
-        return outcome
-
-    return harness.run_virtual(main)
-
-
-async def _submit(world: world_lib.World, body: dict[str, object]) -> int:
-    api = world.entries[0].api
-    assert api is not None
-    answer = await asgi.call(
-        api,
-        "POST",
-        f"/queue-0/{'b' * 16}",
-        json.dumps(body).encode(),
-        headers=HEADERS,
-    )
-    assert answer is not None
-    return answer[0]
+def _run(play: Any) -> Any:
+    return scenario.run(play, max_value_bytes=MAX_VALUE_BYTES)
 
 
 async def _follow_another_job(world: world_lib.World) -> str:
@@ -146,18 +115,20 @@
 # Guards against LOST (issue 48, review/8): the record of an accepted job of
 # 90,000 tasks was refused for ever, and with it those of all other jobs.
 def test_a_job_with_too_many_tasks_is_refused_at_once() -> None:
-    async def scenario(world: world_lib.World) -> tuple[int, str]:
+    async def play(world: world_lib.World) -> tuple[int, str]:
         steps = [SMALL_STEP | {"count": 90_000}]
-        status = await _submit(world, {"spec": SPEC, "steps": steps})
+        status = await scenario.call(
+            world, "POST", PATH, {"spec": SPEC, "steps": steps}
+        )
         return status, await _follow_another_job(world)
 
-    assert _run_scenario(scenario) == (400, "completed")
+    assert _run(play) == (400, "completed")
 
 
 # Guards against LOST (issue 48, review/8): many occurrences that are due at
 # once made a record that the store refused.
 def test_many_due_occurrences_are_opened_as_the_record_has_room() -> None:
-    async def scenario(world: world_lib.World) -> tuple[int, str, bool]:
+    async def play(world: world_lib.World) -> tuple[int, str, bool]:
         body = {
             "spec": SPEC,
             "steps": [SMALL_STEP | {"count": 1, "cpu": 2000}],
@@ -165,22 +136,17 @@
             "firstRunMs": 1,
             "intervalMs": 1,
         }
-        # The checker takes this job's tasks for those of a job that it knows.
-        world.checker.jobs_by_id["b" * 16] = checkers.SubmittedJob(
-            id="b" * 16,
-            spec=SPEC,
-            steps=[dict(SMALL_STEP)],
-            max_attempts=operator_documents.MAX_ATTEMPTS,
+        world.checker.jobs_by_id["b" * 16] = scenario.job_of_small_tasks(
+            "b" * 16, 1, seconds=1.0
         )
-        status = await _submit(world, body)
+        status = await scenario.call(world, "POST", PATH, body)
         state = await _follow_another_job(world)
-        scheduler = world.entries[0].entry
-        assert scheduler is not None and scheduler.scheduler is not None
-        engine = scheduler.scheduler.engine
-        finished = engine.jobs_by_id[types.JobId("b" * 16)].progress
-        return status, state, finished.finished_occurrences > 0
+        entry = world.entries[0].entry
+        assert entry is not None and entry.scheduler is not None
+        tracked = entry.scheduler.engine.jobs_by_id[types.JobId("b" * 16)]
+        return status, state, tracked.progress.finished_occurrences > 0
 
-    assert _run_scenario(scenario) == (200, "completed", True)
+    assert _run(play) == (200, "completed", True)
 
 
 # Guards against LOST (issue 48, review/8): a job that an earlier version has
@@ -191,7 +157,7 @@
     # As with checkpoints, which have nothing in common.
     monkeypatch.setattr(progress_lib, "MIN_COMPRESSED_BYTES", 2**40)
 
-    async def scenario(world: world_lib.World) -> tuple[str, str]:
+    async def play(world: world_lib.World) -> tuple[str, str]:
         step = model.Step(20_000, SMALL, 1.0)
         job = engine_harness.job("b" * 16, step, priority=0)
         value = base64.b64encode(progress_lib.encode_job(job)).decode()
@@ -202,4 +168,4 @@
         stored = await entry.state_of(job.id, trio.current_time() + 1.0)
         return state, stored.value
 
-    assert _run_scenario(scenario) == ("completed", "failed")
+    assert _run(play) == ("completed", "failed")
