Send each member of a gang its spec where there is room

An agent of an earlier version doesn't read shared starts, so that during an update a gang with several members on its worker would have waited for the rest in vain. Found in the review of this change, before it was in use. The test of earlier versions covers gangs now; it has one more case and the same checks. test_report_order passes the new argument of the scheduler.

--- a/pimentobridge/core/jobs/runs.py
+++ b/pimentobridge/core/jobs/runs.py
@@ -177,7 +177,7 @@
     Attributes:
         acknowledged_end: all ends up to this number are recorded in the
             store, and the worker may discard them.
-        starts: runs that should be running, one of each job.
+        starts: runs that should be running, at least one of each job.
         stops: runs that must not be running.
         paces: what running tasks that use spare CPU may do.
         shared_starts: further runs that should be running, of the jobs in
--- a/pimentobridge/core/scheduling/orders.py
+++ b/pimentobridge/core/scheduling/orders.py
@@ -37,24 +37,49 @@
         self._bytes = 0
 
     def add(self, entry: ledger.RunEntry) -> None:
-        """Adds the start of a run, unless the message is full."""
-        key, checkpoint = entry.key, entry.unit.checkpoint
-        ticket = entry.unit.placements[entry.member].ticket
-        index = self._index_by_job.get(entry.tracked.id)
-        spec = entry.tracked.job.spec if index is None else ""
-        size = ORDER_OVERHEAD_BYTES + sum(
-            len(text.encode(errors="replace"))
-            for text in (key.task, checkpoint, ticket, spec)
+        """Adds the start of a run, unless the message is full.
+
+        An agent of an earlier version doesn't read shared starts, and a gang
+        would wait for the members in them. So each member has its spec if
+        there is room for it.
+        """
+        spec = entry.tracked.job.spec
+        order = runs.StartOrder(
+            entry.key,
+            spec,
+            entry.unit.checkpoint,
+            entry.unit.placements[entry.member].ticket,
         )
-        if self._bytes and self._bytes + size > MAX_START_BYTES:
+        index = self._index_by_job.get(entry.tracked.id)
+        size = _bytes_of(order)
+        if index is None or (entry.step.gang and self._has_room(size)):
+            if self._has_room(size):
+                self._index_by_job.setdefault(entry.tracked.id, len(self.first))
+                self.first.append(order)
+                self._bytes += size
+            else:
+                self.left_out = True
+            return
+        size -= len(spec.encode(errors="replace"))
+        if not self._has_room(size):
             self.left_out = True
             return
+        self.shared.append(
+            runs.SharedStart(order.key, index, order.checkpoint, order.ticket)
+        )
         self._bytes += size
-        if index is None:
-            self._index_by_job[entry.tracked.id] = len(self.first)
-            self.first.append(runs.StartOrder(key, spec, checkpoint, ticket))
-        else:
-            self.shared.append(runs.SharedStart(key, index, checkpoint, ticket))
+
+    def _has_room(self, size: int) -> bool:
+        """Returns whether an order fits; the first one always does."""
+        return not self._bytes or self._bytes + size <= MAX_START_BYTES
+
+
+def _bytes_of(order: runs.StartOrder) -> int:
+    """Returns the approximate size of an encoded start."""
+    texts = (order.key.task, order.spec, order.checkpoint, order.ticket)
+    return ORDER_OVERHEAD_BYTES + sum(
+        len(text.encode(errors="replace")) for text in texts
+    )
 
 
 def instructions_for(
--- a/tests/test_long_orders.py
+++ b/tests/test_long_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 import trio
 
 from pimentobridge.core import types
@@ -113,18 +114,21 @@
 
 
 # Guards against an agent of an earlier version that starts a task without its
-# spec: it reads only the starts that have one.
-def test_an_earlier_agent_reads_only_starts_with_their_spec() -> None:
+# spec, or not all members of a gang: it reads only the starts that have one.
+@pytest.mark.parametrize(("gang", "read"), [(False, 1), (True, 3)])
+def test_an_earlier_agent_reads_only_starts_with_their_spec(
+    read: int, *, gang: bool
+) -> None:
     fleet = engine_harness.EngineHarness(1)
-    job = engine_harness.job("a" * 16, model.Step(3, SMALL, 5.0))
+    job = engine_harness.job("a" * 16, model.Step(3, SMALL, 5.0, gang=gang))
     instructions = fleet.submit(job)[0]
     encoded = msgspec.msgpack.encode(instructions)
     earlier = msgspec.msgpack.decode(encoded, type=_EarlierInstructions)
-    assert [start.spec for start in earlier.starts] == [job.spec]
+    assert [start.spec for start in earlier.starts] == [job.spec] * read
     received = msgspec.msgpack.decode(
         msgspec.msgpack.encode(earlier), type=runs.Instructions
     )
-    assert len(received.all_starts) == 1
+    assert len(received.all_starts) == read
     assert len(instructions.all_starts) == 3
 
 
--- a/tests/test_report_order.py
+++ b/tests/test_report_order.py
@@ -12,6 +12,7 @@
 from pimentobridge.core.jobs import progress as progress_lib
 from pimentobridge.core.jobs import runs
 from pimentobridge.daemons import scheduling
+from pimentobridge.daemons import stored_jobs
 from pimentobridge.platform import boot_settings
 from pimentobridge.protocol import control
 from pimentobridge.testing import engine_harness
@@ -72,6 +73,9 @@
         entries=lambda: (),
         items_by_key={},
         policy_service=None,
+        stored_jobs=stored_jobs.StoredJobs(
+            clock_lib.ManualClock(NOW_S), max_value_bytes=1024
+        ),
         **fakes,
     )
 
