--- a/pimentobridge/daemons/job_entry.py
+++ b/pimentobridge/daemons/job_entry.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import result
 import trio
 
 from pimentobridge.core import decoding
@@ -16,7 +15,7 @@
 from pimentobridge.daemons import evacuation_watch
 from pimentobridge.daemons import fleet_record
 from pimentobridge.daemons import handover
-from pimentobridge.daemons import job_items
+from pimentobridge.daemons import job_states
 from pimentobridge.daemons import job_writer
 from pimentobridge.daemons import keys
 from pimentobridge.daemons import leadership as leadership_lib
@@ -44,7 +43,6 @@
     from pimentobridge.platform import boot_settings
     from pimentobridge.protocol import transport
 
-READ_RETRY_PAUSE_S = 0.05
 ANNOUNCE_INTERVAL_S = 1.0
 
 
@@ -130,6 +128,9 @@
         self._relay = write_relay.Relay(
             endpoint=endpoint, peers=self._relay_peers
         )
+        self._states = job_states.JobStates(
+            store=store, mirror=self.mirror, clock=clock
+        )
         self._writer = job_writer.JobWriter(
             store=store,
             mirror=self.mirror,
@@ -274,55 +275,14 @@
     async def state_of(
         self, job_id: types.JobId, deadline_s: float
     ) -> progress_lib.JobState | control.WriteOutcome:
-        """Returns a job's state, `ABSENT` or `UNKNOWN`.
-
-        A job that the mirror lacks is reported as `ABSENT` only if the store
-        confirms it, as the mirror may be out of date.
-        """
-        key = keys.job(job_id)
-        item = self.mirror.items_by_key.get(key)
-        while item is None or item.value is None:
-            response = await self._store.get(key)
-            if isinstance(response, result.Ok):
-                item = response.ok_value
-                if item is None:
-                    return control.WriteOutcome.ABSENT
-                break
-            if self._clock.monotonic() > deadline_s:
-                return control.WriteOutcome.UNKNOWN
-            await trio.sleep(READ_RETRY_PAUSE_S)
-            # Another entry may have supplied it meanwhile.
-            item = self.mirror.items_by_key.get(key)
-        if item.value is None:
-            return control.WriteOutcome.ABSENT
-        job = job_items.read_record(item)
-        if isinstance(job, model.Tombstone):
-            return control.WriteOutcome.ABSENT
-        if job is None:
-            return control.WriteOutcome.UNKNOWN
-        recorded = job_items.read_progress(self.mirror.items_by_key, job)
-        if recorded is None:
-            return control.WriteOutcome.UNKNOWN
-        state = recorded[0].state
-        if job.cancelled and not state.ended:
-            return progress_lib.JobState.CANCELLED
-        return state
+        """Returns a job's state, `ABSENT` or `UNKNOWN`."""
+        return await self._states.state_of(job_id, deadline_s)
 
     def pending_of(self, queue: str) -> int:
         """Returns the number of jobs in a queue that haven't started."""
         if self.scheduler is not None and self.leadership.is_leader:
             return self.scheduler.pending_by_queue().get(queue, 0)
-        count = 0
-        for key, item in self.mirror.items_by_key.items():
-            if not key.startswith(keys.JOBS):
-                continue
-            job = job_items.read_job(item)
-            if job is None or job.queue.name != queue or job.cancelled:
-                continue
-            recorded = job_items.read_progress(self.mirror.items_by_key, job)
-            if recorded is not None:
-                count += recorded[0].state is progress_lib.JobState.QUEUED
-        return count
+        return self._states.pending_of(queue)
 
     # Messages from agents and other entries.
 
