--- a/tests/test_record_room.py
+++ b/tests/test_record_room.py
@@ -57,7 +57,7 @@
 
 
 # Guards against an entry whose memory a few short submissions fill (issue 44):
-# twenty jobs of 100,000 tasks took 525 MB.
+# twenty jobs of 100,000 tasks took one for 200 MB to over 700 MB.
 def test_jobs_whose_tasks_exceed_the_memory_of_an_entry_are_refused() -> None:
     async def play(world: world_lib.World) -> Any:
         machine = world.entries[0]
